--- /dev/null
+++ b/buildscripts/install.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs what the build and its checks need, from Debian's packages.
+set -euo pipefail
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+apt-get install -y -qq --no-install-recommends \
+    g++ cmake ninja-build ccache clang-format clang-tidy \
+    libboost1.81-dev libboost-log1.81-dev libboost-program-options1.81-dev \
+    libboost-json1.81-dev libboost-thread1.81-dev \
+    prometheus-cpp-dev libcurl4-openssl-dev zlib1g-dev catch2 libxxhash-dev >/dev/null
--- /dev/null
+++ b/buildscripts/test.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Installs, builds, checks the format, lints and runs every test.
+# Tests that KNOWN-RED.txt lists may fail; they are printed. Ends with "N passed, N failed".
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+failed=0
+buildscripts/install.sh || exit 1
+buildscripts/build.sh || exit 1
+buildscripts/lint.sh || { echo "The formatter or the linter found something."; failed=$((failed + 1)); }
+
+results=$(mktemp)
+ctest --test-dir build --output-on-failure --no-tests=error -j 2 | tee "$results"
+passed=$(grep -cE '^ *[0-9]+/[0-9]+ Test .*Passed' "$results")
+mapfile -t red < <(sed -nE 's/^ *[0-9]+\/[0-9]+ Test +#[0-9]+: ([^ ]+) .*(Failed|Timeout|Not Run|Exception|Subprocess aborted).*/\1/p' "$results")
+rm -f "$results"
+
+for name in "${red[@]}"; do
+    if grep -q "^test: $name$" KNOWN-RED.txt; then
+        echo "KNOWN RED: $name"
+    else
+        failed=$((failed + 1))
+        echo "FAILED: $name"
+    fi
+done
+[ "$passed" -gt 0 ] || failed=$((failed + 1))
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/src/admission/upstream_slots.cpp
@@ -0,0 +1,75 @@
+#include "admission/upstream_slots.h"
+
+#include <algorithm>
+
+namespace buckthornhill::admission {
+upstream_slots::upstream_slots(ownership::upstream_description description, time_point now,
+                               const admission_configuration& settings)
+    : upstream(std::move(description))
+    , configuration(settings)
+    , ramp_start(now)
+    , own_peak(settings.load_report_lifetime)
+{
+}
+
+std::int64_t upstream_slots::ramped(time_point now) const
+{
+    const auto slots = this->upstream.slots.value();
+    const auto elapsed = now - this->ramp_start;
+    const duration ramp = this->configuration.ramp_time;
+    if (elapsed >= ramp || slots <= 1) {
+        return slots;
+    }
+    return 1 + (slots - 1) * elapsed.count() / ramp.count();
+}
+
+std::int64_t upstream_slots::limit(time_point now) const
+{
+    if (!this->is_admitting) {
+        return 0;
+    }
+    auto usable = this->ramped(now);
+    if (now < this->foreign_until) {
+        usable -= this->foreign;
+    }
+    if (now < this->shed_until) {
+        usable -= this->shed_penalty;
+    }
+    //! NOTE One request at a time is always tried, so that a misleading report cannot idle an upstream.
+    return std::max<std::int64_t>(usable, std::min<std::int64_t>(1, this->upstream.slots.value()));
+}
+
+void upstream_slots::set_admitting(time_point now, bool value)
+{
+    if (value && !this->is_admitting) {
+        this->ramp_start = now;
+    }
+    this->is_admitting = value;
+}
+
+void upstream_slots::on_start(time_point now)
+{
+    ++this->running;
+    this->own_peak.observe(now, this->running);
+}
+
+void upstream_slots::on_finish(time_point now, attempt_result result)
+{
+    this->own_peak.observe(now, this->running);
+    --this->running;
+    if (result == attempt_result::shed) {
+        const bool is_fresh = now >= this->shed_until;
+        this->shed_penalty =
+            is_fresh ? 1 : std::min(this->shed_penalty + 1, this->upstream.slots.value() - 1);
+        this->shed_until = now + this->configuration.shed_backoff;
+    }
+}
+
+void upstream_slots::on_load_report(time_point now, std::int64_t reported_in_use)
+{
+    //! NOTE The report lags, so it is compared with the most that this owner ran lately.
+    const auto excess = reported_in_use - this->own_peak.value(now);
+    this->foreign = std::clamp<std::int64_t>(excess, 0, this->upstream.slots.value());
+    this->foreign_until = now + this->configuration.load_report_lifetime;
+}
+} // namespace buckthornhill::admission
--- /dev/null
+++ b/src/admission/upstream_slots.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "admission/admission_types.h"
+#include "admission/recent_peak.h"
+#include "ownership/ownership_types.h"
+
+namespace buckthornhill::admission {
+//! Exact count of the slots that one owner uses at one upstream, and how many it may use.
+class upstream_slots
+{
+public:
+    upstream_slots(ownership::upstream_description description, time_point now,
+                   const admission_configuration& configuration);
+
+    const ownership::upstream_description& description() const { return this->upstream; }
+    void update(const ownership::upstream_description& description) { this->upstream = description; }
+
+    //! Slots usable now: the upstream's own, less slow start, sheds and what others seem to use.
+    std::int64_t limit(time_point now) const;
+    bool has_room(time_point now) const { return this->is_admitting && this->running < this->limit(now); }
+    std::int64_t in_flight() const { return this->running; }
+    bool admits() const { return this->is_admitting; }
+    void set_admitting(time_point now, bool value);
+    //! Starts the slow start again, for example after a pause of this process.
+    void restart_ramp(time_point now) { this->ramp_start = now; }
+
+    void on_start(time_point now);
+    void on_finish(time_point now, attempt_result result);
+    //! Requests that the upstream says it runs. This can lower the limit and never raises it.
+    void on_load_report(time_point now, std::int64_t reported_in_use);
+
+private:
+    std::int64_t ramped(time_point now) const;
+
+    ownership::upstream_description upstream;
+    admission_configuration configuration;
+    time_point ramp_start;
+    bool is_admitting = true;
+    std::int64_t running = 0;
+    recent_peak own_peak;
+    std::int64_t foreign = 0; //!< slots that somebody else seems to use
+    time_point foreign_until{};
+    std::int64_t shed_penalty = 0;
+    time_point shed_until{};
+};
+} // namespace buckthornhill::admission
--- /dev/null
+++ b/src/daemon/daemon_module.cpp
@@ -0,0 +1,167 @@
+#include "daemon/daemon_module.h"
+
+#include <csignal>
+#include <random>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+#include <prometheus/registry.h>
+
+#include "daemon/operations_service.h"
+#include "daemon/request_engine.h"
+#include "daemon/request_metrics.h"
+#include "global/bounded_ring.h"
+#include "global/log.h"
+#include "platform/document_watcher.h"
+
+namespace buckthornhill::daemon {
+namespace asio = boost::asio;
+
+namespace {
+constexpr std::size_t platform_ring_capacity = 64;
+constexpr std::size_t status_ring_capacity = 64;
+constexpr int exit_interrupted = 130;
+constexpr unsigned incarnation_random_bits = 12;
+
+random_hook make_random()
+{
+    auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
+    return [engine] { return (*engine)(); };
+}
+
+//! Start time in milliseconds above random bits: a later run of an instance has a higher number.
+incarnation_id make_incarnation()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto stamp = std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+    const auto noise = std::random_device{}() & ((1U << incarnation_random_bits) - 1);
+    return incarnation_id((static_cast<std::uint64_t>(stamp) << incarnation_random_bits) | noise);
+}
+
+daemon_configuration with_incarnation(daemon_configuration configuration)
+{
+    configuration.self.incarnation = make_incarnation();
+    return configuration;
+}
+} // namespace
+
+struct daemon_module::implementation
+{
+    explicit implementation(const daemon_configuration& settings)
+        : configuration(with_incarnation(settings))
+        , registry(std::make_shared<prometheus::Registry>())
+        , metrics(*this->registry, settings.self.region)
+        , platform_ring(platform_ring_capacity,
+                        [this] { asio::post(this->request_context, [this] { this->drain_platform(); }); })
+        , query_ring(status_ring_capacity,
+                     [this] { asio::post(this->request_context, [this] { this->drain_queries(); }); })
+        , answer_ring(status_ring_capacity,
+                      [this] { asio::post(this->operations_context, [this] { this->drain_answers(); }); })
+        , engine(this->request_context, this->configuration, this->metrics, make_random(),
+                 [this] { asio::post(this->main_context, [this] { this->main_context.stop(); }); })
+        , watcher(
+              this->platform_context, this->configuration.store, this->configuration.watcher,
+              [this](platform::platform_event event) { return this->platform_ring.push(std::move(event)); },
+              make_random())
+        , operations(this->operations_context, this->configuration.operations_listen, this->registry,
+                     [this](status_query query) { return this->query_ring.push(query); })
+        , signals(this->main_context, SIGTERM, SIGINT)
+    {
+    }
+
+    void drain_platform()
+    {
+        this->platform_ring.drain(
+            [this](const platform::platform_event& event) { this->engine.on_platform_event(event); });
+    }
+
+    void drain_queries()
+    {
+        this->query_ring.drain([this](const status_query& query) {
+            this->answer_ring.push(status_answer{query.number, this->engine.status()});
+        });
+    }
+
+    void drain_answers()
+    {
+        this->answer_ring.drain([this](const status_answer& answer) { this->operations.on_answer(answer); });
+    }
+
+    void await_signal()
+    {
+        this->signals.async_wait([this](const boost::system::error_code& failure, int) {
+            if (failure) {
+                return;
+            }
+            if (this->is_leaving) {
+                this->exit_code = exit_interrupted;
+                this->main_context.stop();
+                return;
+            }
+            this->is_leaving = true;
+            asio::post(this->request_context, [this] { this->engine.begin_leave(); });
+            this->await_signal();
+        });
+    }
+
+    daemon_configuration configuration;
+    std::shared_ptr<prometheus::Registry> registry;
+    request_metrics metrics;
+    asio::io_context main_context;
+    asio::io_context request_context;
+    asio::io_context platform_context;
+    asio::io_context operations_context;
+    bounded_ring<platform::platform_event> platform_ring;
+    bounded_ring<status_query> query_ring;
+    bounded_ring<status_answer> answer_ring;
+    request_engine engine;
+    platform::document_watcher watcher;
+    operations_service operations;
+    asio::signal_set signals;
+    bool is_leaving = false;
+    int exit_code = 0;
+};
+
+daemon_module::daemon_module(const daemon_configuration& configuration)
+    : state(std::make_unique<implementation>(configuration))
+{
+}
+
+daemon_module::~daemon_module() = default;
+
+std::string daemon_module::ready_line() const
+{
+    const auto& self = this->state->engine.self();
+    return boost::json::serialize(
+        boost::json::value{{"id", self.id.str()},
+                           {"region", self.region.str()},
+                           {"domain", self.domain.str()},
+                           {"peer_address", self.peer_address},
+                           {"caller_address", self.caller_address},
+                           {"operations_address", this->state->operations.local_endpoint().str()}});
+}
+
+int daemon_module::run()
+{
+    auto& parts = *this->state;
+    parts.await_signal();
+    parts.engine.start();
+    parts.watcher.start();
+    std::thread request_thread([&parts] { parts.request_context.run(); });
+    std::thread platform_thread([&parts] { parts.platform_context.run(); });
+    std::thread operations_thread([&parts] { parts.operations_context.run(); });
+    parts.main_context.run();
+    parts.request_context.stop();
+    parts.platform_context.stop();
+    parts.operations_context.stop();
+    request_thread.join();
+    platform_thread.join();
+    operations_thread.join();
+    log::info("daemon", "Stopped.");
+    return parts.exit_code;
+}
+} // namespace buckthornhill::daemon
--- /dev/null
+++ b/src/daemon/operations_service.cpp
@@ -0,0 +1,67 @@
+#include "daemon/operations_service.h"
+
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include "http/http_server.h"
+
+namespace buckthornhill::daemon {
+namespace {
+constexpr std::size_t max_waiting_queries = 64;
+
+http::http_response text_response(unsigned status, std::string type, std::string body)
+{
+    http::http_response response;
+    response.status = status;
+    response.headers.emplace_back("Content-Type", std::move(type));
+    response.body = std::move(body);
+    return response;
+}
+} // namespace
+
+operations_service::operations_service(boost::asio::io_context& context, const http::endpoint& listen,
+                                       std::shared_ptr<prometheus::Registry> metrics,
+                                       std::function<bool(status_query)> query)
+    : registry(std::move(metrics))
+    , ask(std::move(query))
+    , server(std::make_unique<http::http_server>(
+          context, listen, http::server_limits{},
+          [this](const http::exchange_ptr& exchange) { this->on_request(exchange); }))
+{
+}
+
+operations_service::~operations_service() = default;
+
+http::endpoint operations_service::local_endpoint() const
+{
+    return this->server->local_endpoint();
+}
+
+void operations_service::on_request(const http::exchange_ptr& exchange)
+{
+    const auto path = http::path_of(exchange->request().target);
+    if (path == "/metrics") {
+        exchange->respond(text_response(200, "text/plain; version=0.0.4",
+                                        prometheus::TextSerializer().Serialize(this->registry->Collect())));
+        return;
+    }
+    if (path != "/status") {
+        exchange->respond(text_response(404, "text/plain", "expected /status or /metrics\n"));
+        return;
+    }
+    const status_query query{++this->last_query};
+    if (this->waiting.size() >= max_waiting_queries || !this->ask(query)) {
+        exchange->respond(text_response(503, "text/plain", "too many questions at once\n"));
+        return;
+    }
+    this->waiting.emplace(query.number, exchange);
+}
+
+void operations_service::on_answer(const status_answer& answer)
+{
+    const auto node = this->waiting.extract(answer.number);
+    if (!node.empty()) {
+        node.mapped()->respond(text_response(200, "application/json", answer.body));
+    }
+}
+} // namespace buckthornhill::daemon
--- /dev/null
+++ b/src/daemon/operations_service.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "http/http_exchange.h"
+
+namespace boost::asio {
+class io_context;
+}
+namespace prometheus {
+class Registry;
+}
+
+namespace buckthornhill::http {
+class http_server;
+}
+
+namespace buckthornhill::daemon {
+//! A question of the operations duty to the request duty, by number.
+struct status_query
+{
+    std::uint64_t number = 0;
+};
+
+struct status_answer
+{
+    std::uint64_t number = 0;
+    std::string body;
+};
+
+//! The operators' listener: state and metrics. Runs on a thread of its own.
+class operations_service
+{
+public:
+    //! `ask` puts a query on the ring to the request duty; false when the ring is full.
+    operations_service(boost::asio::io_context& context, const http::endpoint& listen,
+                       std::shared_ptr<prometheus::Registry> registry, std::function<bool(status_query)> ask);
+    ~operations_service();
+    operations_service(const operations_service&) = delete;
+    operations_service& operator=(const operations_service&) = delete;
+
+    http::endpoint local_endpoint() const;
+    void on_answer(const status_answer& answer);
+
+private:
+    void on_request(const http::exchange_ptr& exchange);
+
+    std::shared_ptr<prometheus::Registry> registry;
+    std::function<bool(status_query)> ask;
+    std::map<std::uint64_t, http::exchange_ptr> waiting;
+    std::uint64_t last_query = 0;
+    std::unique_ptr<http::http_server> server;
+};
+} // namespace buckthornhill::daemon
--- /dev/null
+++ b/src/daemon/request_engine.cpp
@@ -0,0 +1,411 @@
+#include "daemon/request_engine.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "daemon/protocol_headers.h"
+#include "daemon/request_metrics.h"
+#include "daemon/request_translation.h"
+#include "daemon/status_report.h"
+#include "global/error.h"
+#include "global/log.h"
+#include "lists/list_codec.h"
+#include "peers/heartbeat_codec.h"
+
+namespace buckthornhill::daemon {
+namespace {
+constexpr std::string_view log_part = "requests";
+constexpr std::chrono::milliseconds tick_interval{20};
+constexpr std::chrono::milliseconds peer_message_timeout{1000};
+constexpr std::chrono::milliseconds probe_timeout{1000};
+constexpr std::size_t max_idle_connections = 256;
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+http::http_response plain_response(unsigned status, std::string text)
+{
+    http::http_response response;
+    response.status = status;
+    response.headers.emplace_back("Content-Type", "text/plain");
+    response.body = std::move(text) + "\n";
+    return response;
+}
+
+http::http_response json_response(std::string body)
+{
+    http::http_response response;
+    response.headers.emplace_back("Content-Type", "application/json");
+    response.body = std::move(body);
+    return response;
+}
+
+std::string request_id_of(const instance_id& self, flow_id flow, std::uint64_t attempt)
+{
+    return self.str() + "-" + std::to_string(flow.value()) + "-" + std::to_string(attempt);
+}
+} // namespace
+
+struct engine_timer
+{
+    explicit engine_timer(boost::asio::io_context& context)
+        : timer(context)
+    {
+    }
+
+    boost::asio::steady_timer timer;
+};
+
+request_engine::request_engine(boost::asio::io_context& io, const daemon_configuration& settings,
+                               request_metrics& counters, random_hook source, std::function<void()> stopped)
+    : configuration(settings)
+    , context(io)
+    , metrics(counters)
+    , random(std::move(source))
+    , on_stopped(std::move(stopped))
+    , timer(std::make_unique<engine_timer>(io))
+    , client(std::make_unique<http::http_client>(
+          io, http::client_limits{max_idle_connections, settings.caller_limits.max_body_bytes + (4U << 20),
+                                  std::chrono::seconds(30)}))
+{
+    this->callers = std::make_unique<http::http_server>(
+        io, settings.caller_listen, settings.caller_limits,
+        [this](const http::exchange_ptr& exchange) { this->on_caller(exchange); });
+    this->peers = std::make_unique<http::http_server>(
+        io, settings.peer_listen, settings.peer_limits,
+        [this](const http::exchange_ptr& exchange) { this->on_peer(exchange); });
+    auto& self = this->configuration.self;
+    self.caller_address = this->callers->local_endpoint().str();
+    self.peer_address = this->peers->local_endpoint().str();
+    this->node = std::make_unique<node::entry_node>(self, this->configuration.node, this->random);
+}
+
+request_engine::~request_engine() = default;
+
+void request_engine::start()
+{
+    this->ask_seed_peers();
+    this->schedule_tick();
+}
+
+void request_engine::ask_seed_peers()
+{
+    std::vector<membership::member_description> seeds;
+    for (const auto& address : this->configuration.seed_peers) {
+        membership::member_description seed;
+        seed.id = instance_id("seed-" + address.str());
+        seed.peer_address = address.str();
+        seeds.push_back(seed);
+    }
+    this->node->on_seed_peers(now(), seeds);
+}
+
+void request_engine::schedule_tick()
+{
+    this->timer->timer.expires_after(tick_interval);
+    this->timer->timer.async_wait([this](const boost::system::error_code& failure) {
+        if (failure || this->is_stopped) {
+            return;
+        }
+        this->node->on_tick(now());
+        this->run_actions();
+        if (this->node->is_stopped() && !this->is_stopped) {
+            this->is_stopped = true;
+            this->callers->stop_accepting();
+            this->on_stopped();
+            return;
+        }
+        this->schedule_tick();
+    });
+}
+
+void request_engine::on_caller(const http::exchange_ptr& exchange)
+{
+    const auto path = http::path_of(exchange->request().target);
+    if (path == paths::lookup) {
+        this->on_lookup(exchange);
+        return;
+    }
+    if (path.size() < 2 || path.front() != '/') {
+        auto response = plain_response(400, "the path must start with a service's name: /<service>/...");
+        response.headers.emplace_back(std::string(headers::outcome), "not-executed");
+        exchange->respond(std::move(response));
+        return;
+    }
+    this->on_request(exchange, false);
+}
+
+void request_engine::on_lookup(const http::exchange_ptr& exchange)
+{
+    const auto& target = exchange->request().target;
+    const service_id service(http::query_value(target, "service"));
+    const region_id region(http::query_value(target, "region"));
+    this->metrics.on_lookup();
+    exchange->respond(lookup_response_of(this->node->look_up(now(), service, region)));
+}
+
+void request_engine::on_request(const http::exchange_ptr& exchange, bool is_from_peer)
+{
+    const auto time = now();
+    const flow_id flow = ++this->last_flow;
+    const auto& request = exchange->request();
+    node::request_facts facts;
+    try {
+        facts = facts_of(request, flow, time,
+                         {this->configuration.default_deadline, this->configuration.max_deadline});
+    } catch (const buckthornhill::error& failure) {
+        auto response = plain_response(400, failure.what());
+        response.headers.emplace_back(std::string(headers::outcome), "not-executed");
+        exchange->respond(std::move(response));
+        return;
+    }
+    this->flows.emplace(flow, flow_io{exchange, time, is_from_peer, 0, {}, facts.service});
+    exchange->on_cancelled([this, flow] {
+        this->node->on_cancelled(now(), flow);
+        this->run_actions();
+    });
+    const bool is_resend = is_from_peer && http::find_header(request.headers, headers::kind) == "resend";
+    if (is_from_peer && !is_resend) {
+        this->node->on_forwarded_request(time, facts, forwarded_facts_of(request));
+    } else {
+        facts.is_forwarded_resend = is_resend;
+        this->node->on_caller_request(time, facts);
+    }
+    this->run_actions();
+}
+
+bool request_engine::is_peer_key_right(const http::http_request& request) const
+{
+    const auto given = http::find_header(request.headers, headers::peer_key);
+    const auto& wanted = this->configuration.peer_key;
+    //! NOTE Every byte is compared, so that the time taken tells nothing of the key.
+    unsigned difference = given.size() == wanted.size() ? 0 : 1;
+    for (std::size_t i = 0; i < given.size() && i < wanted.size(); ++i) {
+        difference |= static_cast<unsigned char>(given[i]) ^ static_cast<unsigned char>(wanted[i]);
+    }
+    return difference == 0;
+}
+
+void request_engine::on_peer(const http::exchange_ptr& exchange)
+{
+    if (!this->is_peer_key_right(exchange->request())) {
+        exchange->respond(plain_response(403, "the peer key is missing or wrong"));
+        return;
+    }
+    const auto path = http::path_of(exchange->request().target);
+    if (path.starts_with("/.peer/")) {
+        this->on_peer_message(exchange, path);
+        return;
+    }
+    this->on_request(exchange, true);
+}
+
+void request_engine::on_peer_message(const http::exchange_ptr& exchange, std::string_view path)
+{
+    try {
+        const auto& body = exchange->request().body;
+        if (path == paths::heartbeat) {
+            const auto answer = this->node->on_heartbeat(now(), peers::decode_heartbeat(body));
+            auto encoded = peers::encode_heartbeat(answer);
+            this->metrics.on_heartbeat_bytes(body.size() + encoded.size());
+            exchange->respond(json_response(std::move(encoded)));
+        } else if (path == paths::document) {
+            const auto name =
+                lists::parse_document_name(http::query_value(exchange->request().target, "name"));
+            auto response = json_response(this->node->slices().lists.body_of(name));
+            response.headers.emplace_back(
+                "X-Version", std::to_string(this->node->slices().lists.version_of(name).value()));
+            exchange->respond(std::move(response));
+        } else if (path == paths::handover) {
+            this->node->on_handover(peers::decode_handover(body));
+            exchange->respond(plain_response(200, "accepted"));
+        } else {
+            exchange->respond(plain_response(404, "no such peer message"));
+        }
+    } catch (const buckthornhill::error& failure) {
+        log::warning(log_part, std::string("A peer message was refused: ") + failure.what() + ".");
+        exchange->respond(plain_response(400, failure.what()));
+    }
+    this->run_actions();
+}
+
+void request_engine::on_platform_event(const platform::platform_event& event)
+{
+    if (event.kind == platform::platform_event::event_kind::all_read) {
+        this->node->on_store_confirmed(now());
+        this->run_actions();
+        return;
+    }
+    const auto result = this->node->on_document(now(), event.name, event.version, event.body);
+    const auto what =
+        std::string(lists::to_string(event.name)) + " version " + std::to_string(event.version.value());
+    if (result == lists::offer_result::accepted) {
+        log::info(log_part, "In force: " + what + ".");
+    } else if (result == lists::offer_result::rejected) {
+        log::error(log_part, "Rejected " + what + ": " + this->node->slices().lists.reason() + ".");
+    }
+    this->run_actions();
+}
+
+void request_engine::begin_leave()
+{
+    log::info(log_part, "Leaving: others take the upstreams over.");
+    this->node->begin_leave(now());
+    this->run_actions();
+}
+
+std::string request_engine::status()
+{
+    return status_report(*this->node, now());
+}
+
+void request_engine::run_actions()
+{
+    for (auto actions = this->node->take_actions(); !actions.empty(); actions = this->node->take_actions()) {
+        for (const auto& action : actions) {
+            std::visit([this](const auto& chosen) { this->run(chosen); }, action);
+        }
+    }
+}
+
+void request_engine::run(const node::start_upstream_action& action)
+{
+    const auto found = this->flows.find(action.flow);
+    if (found == this->flows.end()) {
+        return;
+    }
+    auto& flow = found->second;
+    const auto id = request_id_of(this->configuration.self.id, action.flow, action.attempt);
+    auto request = upstream_request_of(flow.exchange->request(), now(), action.deadline, id);
+    const auto choice =
+        action.needs_fresh_connection ? http::connection_choice::fresh : http::connection_choice::reuse;
+    flow.attempt = action.attempt;
+    flow.call = this->client->send(http::parse_endpoint(action.address), std::move(request), action.deadline,
+                                   choice, [this, action, id](http::call_result result) {
+                                       this->node->on_upstream_result(
+                                           now(), action.flow, action.attempt, action.upstream,
+                                           upstream_result_of(std::move(result), id));
+                                       this->run_actions();
+                                   });
+}
+
+void request_engine::run(const node::start_peer_action& action)
+{
+    const auto found = this->flows.find(action.flow);
+    if (found == this->flows.end()) {
+        return;
+    }
+    auto& flow = found->second;
+    const auto inner_deadline = action.deadline - this->configuration.node.answer_grace;
+    auto request = peer_request_of(flow.exchange->request(), action, this->configuration.self,
+                                   this->configuration.peer_key, now(), inner_deadline);
+    flow.attempt = action.attempt;
+    flow.call = this->client->send(
+        http::parse_endpoint(action.address), std::move(request), action.deadline,
+        http::connection_choice::reuse,
+        [this, id = action.flow, attempt = action.attempt](http::call_result result) {
+            this->node->on_peer_result(now(), id, attempt, peer_result_of(std::move(result)));
+            this->run_actions();
+        });
+}
+
+void request_engine::run(const node::cancel_action& action)
+{
+    const auto found = this->flows.find(action.flow);
+    if (found != this->flows.end() && found->second.attempt == action.attempt) {
+        this->client->cancel(found->second.call);
+    }
+}
+
+void request_engine::run(const node::answer_action& action)
+{
+    const auto node = this->flows.extract(action.flow);
+    if (node.empty()) {
+        return;
+    }
+    const auto& flow = node.mapped();
+    if (!flow.is_from_peer) {
+        this->metrics.on_answer(flow.service, action.result, action.reason, now() - flow.started_at);
+    }
+    flow.exchange->respond(response_of(action));
+}
+
+http::http_request request_engine::peer_message(std::string_view path, std::string body) const
+{
+    http::http_request request;
+    request.method = "POST";
+    request.target = std::string(path);
+    request.headers.emplace_back(std::string(headers::peer_key), this->configuration.peer_key);
+    request.headers.emplace_back("Content-Type", "application/json");
+    request.body = std::move(body);
+    return request;
+}
+
+void request_engine::run(const node::heartbeat_action& action)
+{
+    auto request = this->peer_message(paths::heartbeat, peers::encode_heartbeat(action.message));
+    this->metrics.on_heartbeat_bytes(request.body.size());
+    this->client->send(
+        http::parse_endpoint(action.address), std::move(request), now() + peer_message_timeout,
+        http::connection_choice::reuse, [this](const http::call_result& result) {
+            if (result.status != http::call_status::complete || result.response.status != 200) {
+                return;
+            }
+            try {
+                this->metrics.on_heartbeat_bytes(result.response.body.size());
+                this->node->on_heartbeat_answer(now(), peers::decode_heartbeat(result.response.body));
+            } catch (const buckthornhill::error& failure) {
+                log::warning(log_part,
+                             std::string("A heartbeat answer was refused: ") + failure.what() + ".");
+            }
+            this->run_actions();
+        });
+}
+
+void request_engine::run(const node::fetch_document_action& action)
+{
+    http::http_request request = this->peer_message(
+        std::string(paths::document) + "?name=" + std::string(lists::to_string(action.name)), "");
+    request.method = "GET";
+    this->client->send(http::parse_endpoint(action.address), std::move(request), now() + peer_message_timeout,
+                       http::connection_choice::reuse,
+                       [this, name = action.name](const http::call_result& result) {
+                           const auto version = http::find_header(result.response.headers, "X-Version");
+                           if (result.status == http::call_status::complete && !version.empty()) {
+                               const object_version number(std::stoull(std::string(version)));
+                               this->on_platform_event({platform::platform_event::event_kind::document, name,
+                                                        number, result.response.body});
+                           }
+                       });
+}
+
+void request_engine::run(const node::probe_action& action)
+{
+    http::http_request request;
+    request.target = std::string(paths::upstream_health);
+    this->client->send(http::parse_endpoint(action.address), std::move(request), now() + probe_timeout,
+                       http::connection_choice::reuse,
+                       [this, upstream = action.upstream](http::call_result result) {
+                           const auto answer = upstream_result_of(std::move(result), {});
+                           const bool is_alive = answer.answer && answer.answer->status == 200;
+                           this->node->on_probe_result(now(), upstream,
+                                                       {is_alive, answer.is_leaving, answer.reported_in_use});
+                           this->run_actions();
+                       });
+}
+
+void request_engine::run(const node::handover_action& action)
+{
+    this->client->send(http::parse_endpoint(action.address),
+                       this->peer_message(paths::handover, peers::encode_handover(action.handover)),
+                       now() + peer_message_timeout, http::connection_choice::reuse,
+                       [this](const http::call_result& result) {
+                           const bool is_accepted =
+                               result.status == http::call_status::complete && result.response.status == 200;
+                           this->node->on_handover_answer(is_accepted);
+                           this->run_actions();
+                       });
+}
+} // namespace buckthornhill::daemon
--- /dev/null
+++ b/src/daemon/request_engine.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "daemon/daemon_configuration.h"
+#include "global/units.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "node/entry_node.h"
+#include "platform/platform_types.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace buckthornhill::daemon {
+class request_metrics;
+struct engine_timer;
+
+//! The request duty: listeners for callers and peers, calls to upstreams and peers, and the decisions
+//! between. Everything here runs on one thread, that of the context.
+class request_engine
+{
+public:
+    request_engine(boost::asio::io_context& context, const daemon_configuration& configuration,
+                   request_metrics& metrics, random_hook random, std::function<void()> on_stopped);
+    ~request_engine();
+    request_engine(const request_engine&) = delete;
+    request_engine& operator=(const request_engine&) = delete;
+
+    const membership::member_description& self() const { return this->configuration.self; }
+    void start();
+    void on_platform_event(const platform::platform_event& event);
+    void begin_leave();
+    //! State for operators, as JSON.
+    std::string status();
+
+private:
+    struct flow_io
+    {
+        http::exchange_ptr exchange;
+        time_point started_at;
+        bool is_from_peer = false;
+        std::uint64_t attempt = 0;
+        http::call_id call;
+        service_id service;
+    };
+
+    void on_caller(const http::exchange_ptr& exchange);
+    void on_peer(const http::exchange_ptr& exchange);
+    void on_peer_message(const http::exchange_ptr& exchange, std::string_view path);
+    void on_request(const http::exchange_ptr& exchange, bool is_from_peer);
+    void on_lookup(const http::exchange_ptr& exchange);
+    bool is_peer_key_right(const http::http_request& request) const;
+
+    void run_actions();
+    void run(const node::start_upstream_action& action);
+    void run(const node::start_peer_action& action);
+    void run(const node::cancel_action& action);
+    void run(const node::answer_action& action);
+    void run(const node::heartbeat_action& action);
+    void run(const node::fetch_document_action& action);
+    void run(const node::probe_action& action);
+    void run(const node::handover_action& action);
+    void schedule_tick();
+    void ask_seed_peers();
+    http::http_request peer_message(std::string_view path, std::string body) const;
+
+    daemon_configuration configuration;
+    request_metrics& metrics;
+    random_hook random;
+    std::function<void()> on_stopped;
+    std::unique_ptr<engine_timer> timer;
+    std::unique_ptr<http::http_client> client;
+    std::unique_ptr<http::http_server> callers;
+    std::unique_ptr<http::http_server> peers;
+    std::unique_ptr<node::entry_node> node;
+    std::unordered_map<flow_id, flow_io> flows;
+    flow_id last_flow;
+    bool is_stopped = false;
+};
+} // namespace buckthornhill::daemon
--- /dev/null
+++ b/src/daemon/request_metrics.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "admission/admission_types.h"
+#include "global/ids.h"
+#include "global/units.h"
+#include "requests/requests_types.h"
+
+namespace prometheus {
+class Registry;
+} // namespace prometheus
+
+namespace buckthornhill::daemon {
+//! Counters and histograms of the request duty. Label values come from bounded sets.
+class request_metrics
+{
+public:
+    request_metrics(prometheus::Registry& registry, const region_id& region);
+    ~request_metrics();
+    request_metrics(const request_metrics&) = delete;
+    request_metrics& operator=(const request_metrics&) = delete;
+
+    void on_answer(const service_id& service, requests::outcome result, admission::refusal_reason reason,
+                   duration took);
+    void on_lookup();
+    void on_heartbeat_bytes(std::size_t bytes);
+    void set_gauge(const std::string& name, const service_id& service, double value);
+
+private:
+    struct families;
+    struct service_metrics;
+
+    service_metrics& of(const service_id& service);
+
+    std::unique_ptr<families> registered;
+    std::map<service_id, std::unique_ptr<service_metrics>> services;
+};
+} // namespace buckthornhill::daemon
--- /dev/null
+++ b/src/daemon/request_translation.cpp
@@ -0,0 +1,318 @@
+#include "daemon/request_translation.h"
+
+#include <charconv>
+
+#include <boost/json.hpp>
+
+#include "daemon/protocol_headers.h"
+#include "global/hash.h"
+#include "requests/requests_errors.h"
+
+namespace buckthornhill::daemon {
+namespace json = boost::json;
+
+namespace {
+constexpr unsigned status_shed = 503;
+constexpr std::string_view own_header_prefix = "Bth-";
+
+bool starts_with_ignoring_case(std::string_view text, std::string_view prefix)
+{
+    if (text.size() < prefix.size()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < prefix.size(); ++i) {
+        if (std::tolower(static_cast<unsigned char>(text[i])) !=
+            std::tolower(static_cast<unsigned char>(prefix[i]))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool equals_ignoring_case(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && starts_with_ignoring_case(a, b);
+}
+
+//! Headers that end at this hop, or that only the instances themselves may set.
+bool is_hop_header(std::string_view name)
+{
+    static constexpr std::string_view hop_headers[] = {
+        "Connection", "Keep-Alive", "Transfer-Encoding",   "Content-Length",     "TE",    "Trailer",
+        "Upgrade",    "Host",       "Proxy-Authorization", "Proxy-Authenticate", "Expect"};
+    if (starts_with_ignoring_case(name, own_header_prefix) || starts_with_ignoring_case(name, "Upstream-")) {
+        return true;
+    }
+    for (const auto hop : hop_headers) {
+        if (equals_ignoring_case(name, hop)) {
+            return true;
+        }
+    }
+    return equals_ignoring_case(name, headers::request_id);
+}
+
+void copy_end_to_end(const http::header_list& from, http::header_list& to)
+{
+    for (const auto& header : from) {
+        if (!is_hop_header(header.first)) {
+            to.push_back(header);
+        }
+    }
+}
+
+std::int64_t number_in(std::string_view text, std::int64_t fallback)
+{
+    std::int64_t number = fallback;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return status == std::errc{} ? number : fallback;
+}
+
+std::string remaining_ms(time_point now, time_point deadline)
+{
+    return std::to_string(std::max<std::int64_t>(0, to_milliseconds(deadline - now)));
+}
+
+std::string_view service_in(std::string_view target)
+{
+    const auto path = http::path_of(target).substr(1);
+    return path.substr(0, path.find('/'));
+}
+
+void add_header(http::header_list& list, std::string_view name, std::string value)
+{
+    list.emplace_back(std::string(name), std::move(value));
+}
+
+std::string text_of(const requests::ticket_block& block)
+{
+    return requests::to_string(requests::ticket{block.incarnation, block.first}) + "+" +
+           std::to_string(block.count);
+}
+
+requests::ticket_block block_in(std::string_view text)
+{
+    const auto plus = text.find('+');
+    if (plus == std::string_view::npos) {
+        return {};
+    }
+    const auto first = requests::parse_ticket(text.substr(0, plus));
+    return {first.incarnation, first.number, static_cast<std::uint64_t>(number_in(text.substr(plus + 1), 0))};
+}
+
+node::attempt_status attempt_status_of(http::call_status status)
+{
+    switch (status) {
+    case http::call_status::complete:
+        return node::attempt_status::complete;
+    case http::call_status::connect_failed:
+        return node::attempt_status::connect_failed;
+    case http::call_status::broken:
+        return node::attempt_status::broken;
+    case http::call_status::timed_out:
+        return node::attempt_status::timed_out;
+    case http::call_status::cancelled:
+        return node::attempt_status::cancelled;
+    }
+    return node::attempt_status::broken;
+}
+
+requests::answer_ptr answer_of(http::http_response response)
+{
+    requests::answer_ptr answer(new requests::answer_record);
+    answer->status = response.status;
+    copy_end_to_end(response.headers, answer->headers);
+    answer->body = std::move(response.body);
+    return answer;
+}
+
+unsigned status_of_refusal(admission::refusal_reason reason)
+{
+    using admission::refusal_reason;
+    switch (reason) {
+    case refusal_reason::ticket_required:
+        return 428;
+    case refusal_reason::ticket_invalid:
+        return 400;
+    case refusal_reason::quarantined:
+        return 422;
+    case refusal_reason::deadline_passed:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+json::object json_of(const requests::ticket_block& block)
+{
+    //! NOTE An incarnation has more digits than a JSON number keeps in some languages, so it is text.
+    return {{"incarnation", std::to_string(block.incarnation.value())},
+            {"first", block.first.value()},
+            {"count", block.count}};
+}
+} // namespace
+
+node::request_facts facts_of(const http::http_request& request, flow_id flow, time_point now,
+                             const translation_limits& limits)
+{
+    node::request_facts facts;
+    facts.flow = flow;
+    facts.service = service_id(std::string(service_in(request.target)));
+    facts.customer = customer_id(std::string(http::find_header(request.headers, headers::customer)));
+    facts.client_region = region_id(std::string(http::find_header(request.headers, headers::region)));
+    facts.is_idempotent = request.method == "GET" || request.method == "HEAD";
+    const auto asked =
+        number_in(http::find_header(request.headers, headers::deadline_ms), limits.default_deadline.count());
+    const auto granted = std::min<std::int64_t>(asked, limits.max_deadline.count());
+    facts.deadline = now + std::chrono::milliseconds(granted);
+    facts.affinity = hash_text(request.target);
+    facts.print = fingerprint(hash_text(request.body, hash_text(request.method, facts.affinity)));
+    const auto name = http::find_header(request.headers, headers::ticket);
+    if (!name.empty()) {
+        facts.name = requests::parse_ticket(name);
+    }
+    return facts;
+}
+
+node::forwarded_facts forwarded_facts_of(const http::http_request& request)
+{
+    node::forwarded_facts forwarded;
+    forwarded.from = instance_id(std::string(http::find_header(request.headers, headers::from)));
+    forwarded.from_region = region_id(std::string(http::find_header(request.headers, headers::from_region)));
+    forwarded.priority =
+        quota::parse_request_class(http::find_header(request.headers, headers::request_class));
+    return forwarded;
+}
+
+http::http_request upstream_request_of(const http::http_request& request, time_point now, time_point deadline,
+                                       const std::string& request_id)
+{
+    http::http_request outgoing;
+    outgoing.method = request.method;
+    outgoing.target = request.target;
+    copy_end_to_end(request.headers, outgoing.headers);
+    add_header(outgoing.headers, headers::upstream_deadline_ms, remaining_ms(now, deadline));
+    add_header(outgoing.headers, headers::request_id, request_id);
+    outgoing.body = request.body;
+    return outgoing;
+}
+
+http::http_request peer_request_of(const http::http_request& request, const node::start_peer_action& action,
+                                   const membership::member_description& self, const std::string& peer_key,
+                                   time_point now, time_point deadline)
+{
+    http::http_request outgoing;
+    outgoing.method = request.method;
+    outgoing.target = request.target;
+    copy_end_to_end(request.headers, outgoing.headers);
+    for (const auto name : {headers::customer, headers::region, headers::ticket}) {
+        const auto value = http::find_header(request.headers, name);
+        if (!value.empty()) {
+            add_header(outgoing.headers, name, std::string(value));
+        }
+    }
+    add_header(outgoing.headers, headers::peer_key, peer_key);
+    add_header(outgoing.headers, headers::kind,
+               action.kind == node::peer_request_kind::admit ? "admit" : "resend");
+    add_header(outgoing.headers, headers::from, self.id.str());
+    add_header(outgoing.headers, headers::from_region, self.region.str());
+    add_header(outgoing.headers, headers::request_class, std::string(quota::to_string(action.priority)));
+    add_header(outgoing.headers, headers::deadline_ms, remaining_ms(now, deadline));
+    outgoing.body = request.body;
+    return outgoing;
+}
+
+node::upstream_result upstream_result_of(http::call_result call, const std::string& request_id)
+{
+    node::upstream_result result;
+    result.status = attempt_status_of(call.status);
+    if (call.status != http::call_status::complete) {
+        return result;
+    }
+    const auto& fields = call.response.headers;
+    const auto echoed = http::find_header(fields, headers::request_id);
+    if (!echoed.empty() && echoed != request_id) {
+        //! NOTE The answer belongs to another request, so nothing is known of this one.
+        result.status = node::attempt_status::timed_out;
+        return result;
+    }
+    result.is_shed =
+        call.response.status == status_shed && !http::find_header(fields, headers::upstream_shed).empty();
+    result.is_leaving = !http::find_header(fields, headers::upstream_draining).empty();
+    result.reported_in_use = number_in(http::find_header(fields, headers::upstream_load), -1);
+    result.answer = answer_of(std::move(call.response));
+    return result;
+}
+
+node::peer_result peer_result_of(http::call_result call)
+{
+    node::peer_result result;
+    result.status = attempt_status_of(call.status);
+    if (call.status != http::call_status::complete) {
+        return result;
+    }
+    const auto& fields = call.response.headers;
+    try {
+        result.result = requests::parse_outcome(http::find_header(fields, headers::outcome));
+        const auto reason = http::find_header(fields, headers::reason);
+        result.reason =
+            reason.empty() ? admission::refusal_reason::none : admission::parse_refusal_reason(reason);
+        result.tickets = block_in(http::find_header(fields, headers::tickets));
+    } catch (const error&) {
+        result.result = requests::outcome::unknown;
+    }
+    result.retry_after =
+        std::chrono::milliseconds(number_in(http::find_header(fields, headers::retry_after_ms), 0));
+    if (result.result == requests::outcome::done) {
+        result.answer = answer_of(std::move(call.response));
+    }
+    return result;
+}
+
+http::http_response response_of(const node::answer_action& answer)
+{
+    http::http_response response;
+    if (answer.answer) {
+        response.status = answer.answer->status;
+        const bool is_shared = answer.answer->use_count() > 1;
+        response.headers = is_shared ? answer.answer->headers : std::move(answer.answer->headers);
+        response.body = is_shared ? answer.answer->body : std::move(answer.answer->body);
+    } else if (answer.result == requests::outcome::done) {
+        //! NOTE The request ran and its answer is no longer kept.
+        response.status = 208;
+    } else if (answer.result == requests::outcome::unknown) {
+        response.status = 502;
+    } else {
+        response.status = status_of_refusal(answer.reason);
+    }
+    add_header(response.headers, headers::outcome, std::string(requests::to_string(answer.result)));
+    if (answer.reason != admission::refusal_reason::none) {
+        add_header(response.headers, headers::reason, std::string(admission::to_string(answer.reason)));
+    }
+    if (answer.retry_after > duration{}) {
+        add_header(response.headers, headers::retry_after_ms,
+                   std::to_string(to_milliseconds(answer.retry_after)));
+    }
+    if (answer.tickets.count > 0) {
+        add_header(response.headers, headers::tickets, text_of(answer.tickets));
+    }
+    return response;
+}
+
+http::http_response lookup_response_of(const node::lookup_answer& answer)
+{
+    json::array entries;
+    for (const auto& entry : answer.entries) {
+        entries.push_back(
+            {{"id", entry.id.str()}, {"region", entry.region.str()}, {"address", entry.address}});
+    }
+    json::object body{{"ttl_ms", answer.ttl.count()}, {"entries", std::move(entries)}};
+    if (answer.tickets.count > 0) {
+        body["tickets"] = json_of(answer.tickets);
+    }
+    http::http_response response;
+    response.status = answer.entries.empty() ? 503 : 200;
+    add_header(response.headers, "Content-Type", "application/json");
+    response.body = json::serialize(body);
+    return response;
+}
+} // namespace buckthornhill::daemon
--- /dev/null
+++ b/src/daemon/status_report.cpp
@@ -0,0 +1,109 @@
+#include "daemon/status_report.h"
+
+#include <boost/json.hpp>
+
+#include "lists/list_codec.h"
+#include "node/entry_node.h"
+
+namespace buckthornhill::daemon {
+namespace json = boost::json;
+
+namespace {
+std::string_view name_of(membership::member_state state)
+{
+    static constexpr std::string_view names[] = {"seeded", "joining", "live", "leaving", "gone"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+json::object describe_member(const membership::member_record& record)
+{
+    const auto& description = record.description;
+    return {{"id", description.id.str()},
+            {"incarnation", std::to_string(description.incarnation.value())},
+            {"region", description.region.str()},
+            {"domain", description.domain.str()},
+            {"caller_address", description.caller_address},
+            {"state", name_of(record.state)}};
+}
+
+json::array describe_services(node::node_slices& slices, time_point now)
+{
+    json::array services;
+    for (const auto& report : slices.admission.reports(now)) {
+        services.push_back({{"service", report.service.str()},
+                            {"slots", report.slots},
+                            {"limit", report.limit},
+                            {"in_flight", report.in_flight},
+                            {"queued", report.queued},
+                            {"spare", report.spare},
+                            {"mean_service_us", report.mean_service_us},
+                            {"remote_in_flight", slices.admission.find(report.service)->remote_in_flight()},
+                            {"is_shifting", slices.selector.is_shifting(report.service)}});
+    }
+    return services;
+}
+
+json::array describe_drains(const drain::slowdown_gate& gate)
+{
+    json::array drains;
+    for (const auto& decision : gate.decisions()) {
+        json::array due;
+        for (const auto& call : decision.due) {
+            due.push_back({{"customer", call.customer.str()},
+                           {"subject", call.subject},
+                           {"region", call.region.str()},
+                           {"service", call.service.str()},
+                           {"promised_slots", call.promised.value()},
+                           {"available_slots", call.available.value()}});
+        }
+        drains.push_back({{"id", decision.mark.id},
+                          {"kind", lists::to_string(decision.mark.kind)},
+                          {"target", decision.mark.target},
+                          {"state", decision.is_released ? "in-effect" : "waiting-for-calls"},
+                          {"notifications_due", std::move(due)}});
+    }
+    return drains;
+}
+
+json::array describe_upstreams(node::node_slices& slices, time_point now)
+{
+    json::array upstreams;
+    for (auto& [service, admission] : slices.admission.services()) {
+        for (const auto& [id, upstream] : admission.upstreams()) {
+            upstreams.push_back({{"id", id.str()},
+                                 {"service", service.str()},
+                                 {"slots", upstream.description().slots.value()},
+                                 {"limit", upstream.limit(now)},
+                                 {"in_flight", upstream.in_flight()},
+                                 {"admits", upstream.admits()}});
+        }
+    }
+    return upstreams;
+}
+} // namespace
+
+std::string status_report(node::entry_node& node, time_point now)
+{
+    auto& slices = node.slices();
+    json::object report = describe_member(slices.members.self());
+    report["is_resynchronizing"] = node.is_resynchronizing();
+    report["is_confirmed"] = node.is_confirmed(now);
+    report["flows"] = node.flow_count();
+    report["running_tickets"] = slices.tickets.running_count();
+    json::object versions;
+    for (const auto name : lists::all_documents) {
+        versions[lists::to_string(name)] = slices.lists.version_of(name).value();
+    }
+    report["versions"] = std::move(versions);
+    json::array members;
+    for (const auto& [id, member] : slices.members.all()) {
+        members.push_back(describe_member(member.record));
+    }
+    report["members"] = std::move(members);
+    report["services"] = describe_services(slices, now);
+    report["upstreams"] = describe_upstreams(slices, now);
+    report["drains"] = describe_drains(slices.gate);
+    report["suspected_requests"] = slices.crashes.size();
+    return json::serialize(report);
+}
+} // namespace buckthornhill::daemon
--- /dev/null
+++ b/src/global/hash.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace buckthornhill {
+//! 64-bit XXH3 hash; the same on every machine.
+std::uint64_t hash_text(std::string_view text, std::uint64_t seed = 0);
+} // namespace buckthornhill
--- /dev/null
+++ b/src/global/ids.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+
+#include "global/strong_id.h"
+#include "global/strong_number.h"
+
+//! Identifiers that several modules share.
+namespace buckthornhill {
+using instance_id = strong_id<struct instance_tag>; //!< an entry instance, from its settings
+using upstream_id = strong_id<struct upstream_tag>;
+using service_id = strong_id<struct service_tag>;
+using region_id = strong_id<struct region_tag>;
+using domain_id = strong_id<struct domain_tag>; //!< a failure domain
+using customer_id = strong_id<struct customer_tag>;
+using plan_id = strong_id<struct plan_tag>;
+
+//! One run of an entry instance's process. A later run of the same instance has a higher number.
+using incarnation_id = strong_number<struct incarnation_tag, std::uint64_t>;
+//! Position of a non-idempotent request among those that one incarnation issued.
+using ticket_number = strong_number<struct ticket_tag, std::uint64_t>;
+//! One request inside one daemon.
+using flow_id = strong_number<struct flow_tag, std::uint64_t>;
+//! Hash of what a request asks for, the same for every resend of it.
+using fingerprint = strong_number<struct fingerprint_tag, std::uint64_t>;
+//! Version that the platform's object API gave to an object.
+using object_version = strong_number<struct object_version_tag, std::uint64_t>;
+} // namespace buckthornhill
--- /dev/null
+++ b/src/health/health_monitor.cpp
@@ -0,0 +1,122 @@
+#include "health/health_monitor.h"
+
+#include <algorithm>
+
+namespace buckthornhill::health {
+health_monitor::health_monitor(const health_configuration& settings)
+    : configuration(settings)
+{
+}
+
+void health_monitor::own(time_point now, const upstream_id& upstream, const service_id& service)
+{
+    auto [position, is_new] = this->upstreams.try_emplace(upstream);
+    if (is_new) {
+        //! NOTE A new upstream is probed at once; its load is not known yet.
+        position->second = {service, condition::healthy, 0, now - this->configuration.quiet_before_probe,
+                            now - this->configuration.quiet_before_probe};
+    }
+}
+
+void health_monitor::release(const upstream_id& upstream)
+{
+    this->upstreams.erase(upstream);
+}
+
+bool health_monitor::on_success(time_point now, const upstream_id& upstream)
+{
+    const auto found = this->upstreams.find(upstream);
+    if (found == this->upstreams.end()) {
+        return false;
+    }
+    auto& known = found->second;
+    known.failures_in_row = 0;
+    known.last_signal = now;
+    if (known.state != condition::ejected) {
+        return false;
+    }
+    known.state = condition::healthy;
+    return true;
+}
+
+void health_monitor::set_service_view(const service_id& service, std::size_t total,
+                                      std::size_t ejected_elsewhere)
+{
+    this->services[service] = {total, ejected_elsewhere};
+}
+
+std::size_t health_monitor::ejected_count(const service_id& service) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->upstreams.begin(), this->upstreams.end(), [&](const auto& item) {
+            return item.second.service == service && item.second.state == condition::ejected;
+        }));
+}
+
+bool health_monitor::may_eject_another(const service_id& service) const
+{
+    const auto view = this->services.find(service);
+    if (view == this->services.end()) {
+        return false;
+    }
+    const auto ejected = this->ejected_count(service) + view->second.ejected_elsewhere;
+    const auto allowed = this->configuration.max_ejected_fraction * static_cast<double>(view->second.total);
+    return static_cast<double>(ejected + 1) <= allowed;
+}
+
+bool health_monitor::on_failure(time_point now, const upstream_id& upstream)
+{
+    const auto found = this->upstreams.find(upstream);
+    if (found == this->upstreams.end()) {
+        return false;
+    }
+    auto& known = found->second;
+    ++known.failures_in_row;
+    known.last_signal = now;
+    const bool is_bad = known.failures_in_row >= this->configuration.failures_to_eject;
+    if (known.state != condition::healthy || !is_bad || !this->may_eject_another(known.service)) {
+        return false;
+    }
+    known.state = condition::ejected;
+    return true;
+}
+
+bool health_monitor::on_leaving_sign(const upstream_id& upstream)
+{
+    const auto found = this->upstreams.find(upstream);
+    if (found == this->upstreams.end() || found->second.state == condition::leaving) {
+        return false;
+    }
+    found->second.state = condition::leaving;
+    return true;
+}
+
+condition health_monitor::condition_of(const upstream_id& upstream) const
+{
+    const auto found = this->upstreams.find(upstream);
+    return found == this->upstreams.end() ? condition::healthy : found->second.state;
+}
+
+std::vector<upstream_id> health_monitor::take_due_probes(time_point now)
+{
+    std::vector<upstream_id> due;
+    for (auto& [id, known] : this->upstreams) {
+        const bool is_ejected = known.state == condition::ejected;
+        const duration interval =
+            is_ejected ? this->configuration.probe_interval_ejected : this->configuration.quiet_before_probe;
+        const bool is_quiet = is_ejected || now - known.last_signal >= interval;
+        if (is_quiet && now - known.last_probe >= interval) {
+            known.last_probe = now;
+            due.push_back(id);
+        }
+    }
+    return due;
+}
+
+bool health_monitor::suspects_itself() const
+{
+    return this->upstreams.size() > 1 &&
+           std::all_of(this->upstreams.begin(), this->upstreams.end(),
+                       [](const auto& item) { return item.second.failures_in_row > 0; });
+}
+} // namespace buckthornhill::health
--- /dev/null
+++ b/src/health/health_types.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+
+#include "global/ids.h"
+#include "global/units.h"
+
+//! The owner's judgement of its upstreams, from live traffic first and probes of quiet ones.
+namespace buckthornhill::health {
+enum class condition {
+    healthy,
+    ejected, //!< no new work until a probe succeeds
+    leaving  //!< the upstream or the platform said so; no new work
+};
+
+struct health_configuration
+{
+    int failures_to_eject = 3;             //!< in a row
+    double max_ejected_fraction = 1.0 / 3; //!< of one service's upstreams in the system
+    std::chrono::milliseconds quiet_before_probe{2000};
+    std::chrono::milliseconds probe_interval_ejected{500};
+};
+} // namespace buckthornhill::health
--- /dev/null
+++ b/src/http/http_client.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "global/strong_number.h"
+#include "global/units.h"
+#include "http/http_types.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace buckthornhill::http {
+using call_id = strong_number<struct call_tag, std::uint64_t>;
+using call_handler = std::function<void(call_result)>;
+
+enum class connection_choice {
+    reuse, //!< an idle connection if one is alive, else a new one
+    fresh  //!< a new connection: a failed connect then proves that the server read nothing
+};
+
+//! Sends requests, one at a time on a connection, and keeps idle connections for reuse.
+//! A connection whose answer was given up on is closed and never reused.
+class http_client
+{
+public:
+    http_client(boost::asio::io_context& context, const client_limits& limits);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    //! `handler` is called once, never from inside this call.
+    call_id send(const endpoint& server, http_request request, time_point deadline, connection_choice choice,
+                 call_handler handler);
+    //! Closes the call's connection; its handler gets `cancelled`.
+    void cancel(call_id call);
+    void close();
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> state;
+};
+} // namespace buckthornhill::http
--- /dev/null
+++ b/src/http/http_exchange.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <functional>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "http/http_types.h"
+
+namespace buckthornhill::http {
+class http_session;
+
+//! One request that a listener received and its answer. Used on the listener's thread alone.
+class http_exchange : public boost::intrusive_ref_counter<http_exchange, boost::thread_unsafe_counter>
+{
+public:
+    http_exchange(boost::intrusive_ptr<http_session> session, http_request request);
+    ~http_exchange();
+    http_exchange(const http_exchange&) = delete;
+    http_exchange& operator=(const http_exchange&) = delete;
+
+    const http_request& request() const { return this->message; }
+    http_request& request() { return this->message; }
+
+    //! Sends the answer. A second call, or one after the client left, does nothing.
+    void respond(http_response response);
+    //! `hook` is called when the client closes the connection before the answer.
+    void on_cancelled(std::function<void()> hook) { this->cancelled = std::move(hook); }
+    void notify_cancelled();
+
+private:
+    boost::intrusive_ptr<http_session> session;
+    http_request message;
+    std::function<void()> cancelled;
+    bool is_answered = false;
+};
+
+using exchange_ptr = boost::intrusive_ptr<http_exchange>;
+using request_handler = std::function<void(exchange_ptr)>;
+} // namespace buckthornhill::http
--- /dev/null
+++ b/src/http/http_types.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+//! HTTP messages as the other modules see them; Boost.Beast stays inside the module.
+namespace buckthornhill::http {
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+//! Value of the first header called `name` (any case), or an empty text.
+std::string_view find_header(const header_list& headers, std::string_view name);
+
+struct http_request
+{
+    std::string method = "GET";
+    std::string target = "/";
+    header_list headers;
+    std::string body;
+};
+
+struct http_response
+{
+    unsigned status = 200;
+    header_list headers;
+    std::string body;
+};
+
+//! IP address and port of a listener, written `address:port`.
+struct endpoint
+{
+    std::string address;
+    unsigned short port = 0;
+
+    friend auto operator<=>(const endpoint&, const endpoint&) = default;
+    std::string str() const { return this->address + ":" + std::to_string(this->port); }
+};
+
+//! Throws `http_error` when `text` is not `address:port`.
+endpoint parse_endpoint(std::string_view text);
+
+//! Bounds on what a client of a listener may send.
+struct server_limits
+{
+    std::size_t max_header_bytes = 16UL * 1024;
+    std::size_t max_body_bytes = 1024UL * 1024;
+    std::size_t max_connections = 4096;
+    std::chrono::milliseconds request_timeout{5000}; //!< from the first byte of a request to its last
+    std::chrono::milliseconds idle_timeout{60000};
+};
+
+struct client_limits
+{
+    std::size_t max_idle_per_endpoint = 64;
+    std::size_t max_body_bytes = 4UL * 1024 * 1024;
+    std::chrono::milliseconds idle_timeout{30000};
+};
+
+enum class call_status {
+    complete,       //!< a whole answer arrived
+    connect_failed, //!< no byte of the request left this process
+    broken,         //!< the connection failed after the request may have been read
+    timed_out,      //!< the deadline passed; the connection is closed
+    cancelled
+};
+
+struct call_result
+{
+    call_status status = call_status::broken;
+    bool was_sent = false; //!< a byte of the request may have reached the server
+    http_response response;
+    std::string detail;
+};
+
+//! Value of `key` in the query part of `target`, or an empty text. Percent-encoding is decoded.
+std::string query_value(std::string_view target, std::string_view key);
+//! `target` without its query part.
+std::string_view path_of(std::string_view target);
+} // namespace buckthornhill::http
--- /dev/null
+++ b/src/http/internal/http_client.cpp
@@ -0,0 +1,207 @@
+#include "http/http_client.h"
+
+#include <map>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "http/internal/client_connection.h"
+
+namespace buckthornhill::http {
+namespace asio = boost::asio;
+
+namespace {
+constexpr std::chrono::milliseconds sweep_interval{10};
+}
+
+class http_client::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(asio::io_context& io, const client_limits& bounds)
+        : context(io)
+        , limits(bounds)
+        , sweep_timer(io)
+    {
+    }
+
+    call_id send(const endpoint& server, http_request request, time_point deadline, connection_choice choice,
+                 call_handler handler)
+    {
+        const call_id call = ++this->last_call;
+        auto connection = choice == connection_choice::reuse ? this->take_idle(server) : nullptr;
+        if (connection == nullptr) {
+            connection = this->make_connection(server);
+        }
+        connection->call = call;
+        connection->handler = std::move(handler);
+        this->busy.push_back(*connection);
+        this->calls.emplace(call, connection);
+        connection->start(std::move(request), deadline);
+        return call;
+    }
+
+    void cancel(call_id call)
+    {
+        const auto found = this->calls.find(call);
+        if (found == this->calls.end()) {
+            return;
+        }
+        //! NOTE Posted, since a handler must not run inside a call of its owner.
+        asio::post(this->context, [connection = found->second, call] {
+            if (connection->call == call) {
+                connection->abandon(call_status::cancelled);
+            }
+        });
+    }
+
+    void close()
+    {
+        this->is_closed = true;
+        this->sweep_timer.cancel();
+        for (auto& [server, idle] : this->idle_by_server) {
+            for (auto& connection : idle) {
+                connection->close();
+            }
+        }
+        this->idle_by_server.clear();
+        while (!this->busy.empty()) {
+            const client_connection::pointer connection(&this->busy.front());
+            connection->handler = nullptr;
+            connection->abandon(call_status::cancelled);
+        }
+    }
+
+    void schedule_sweep()
+    {
+        this->sweep_timer.expires_after(sweep_interval);
+        this->sweep_timer.async_wait(
+            [self = this->shared_from_this()](const boost::system::error_code& failure) {
+                if (failure || self->is_closed) {
+                    return;
+                }
+                self->sweep();
+                self->schedule_sweep();
+            });
+    }
+
+private:
+    using connection_list =
+        boost::intrusive::list<client_connection, boost::intrusive::constant_time_size<false>>;
+
+    client_connection::pointer make_connection(const endpoint& server)
+    {
+        auto hook = [weak = this->weak_from_this()](const client_connection::pointer& connection,
+                                                    call_result result, bool is_reusable) {
+            if (const auto self = weak.lock()) {
+                self->on_finished(connection, std::move(result), is_reusable);
+            }
+        };
+        return {new client_connection(this->context, server, this->limits.max_body_bytes, std::move(hook))};
+    }
+
+    client_connection::pointer take_idle(const endpoint& server)
+    {
+        auto& idle = this->idle_by_server[server];
+        while (!idle.empty()) {
+            auto connection = std::move(idle.back());
+            idle.pop_back();
+            if (connection->is_alive_when_idle()) {
+                return connection;
+            }
+            connection->close();
+        }
+        return nullptr;
+    }
+
+    void on_finished(const client_connection::pointer& connection, call_result result, bool is_reusable)
+    {
+        if (connection->is_linked()) {
+            connection->unlink();
+        }
+        this->calls.erase(connection->call);
+        connection->call = call_id{};
+        const auto handler = std::move(connection->handler);
+        connection->handler = nullptr;
+        if (is_reusable && !this->is_closed) {
+            this->keep_idle(connection);
+        } else {
+            connection->close();
+        }
+        if (handler) {
+            handler(std::move(result));
+        }
+    }
+
+    void keep_idle(const client_connection::pointer& connection)
+    {
+        auto& idle = this->idle_by_server[connection->server()];
+        if (idle.size() >= this->limits.max_idle_per_endpoint) {
+            connection->close();
+            return;
+        }
+        connection->set_deadline(std::chrono::steady_clock::now() + this->limits.idle_timeout);
+        idle.push_back(connection);
+    }
+
+    void sweep()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        for (auto position = this->busy.begin(); position != this->busy.end();) {
+            const client_connection::pointer connection(&*position);
+            ++position;
+            if (now >= connection->deadline()) {
+                connection->abandon(call_status::timed_out);
+                //! NOTE The handler may have started or ended other calls, so the walk starts afresh.
+                position = this->busy.begin();
+            }
+        }
+        for (auto& [server, idle] : this->idle_by_server) {
+            std::erase_if(idle, [now](const client_connection::pointer& connection) {
+                const bool is_stale = now >= connection->deadline();
+                if (is_stale) {
+                    connection->close();
+                }
+                return is_stale;
+            });
+        }
+    }
+
+    asio::io_context& context;
+    client_limits limits;
+    asio::steady_timer sweep_timer;
+    connection_list busy;
+    std::map<endpoint, std::vector<client_connection::pointer>> idle_by_server;
+    std::unordered_map<call_id, client_connection::pointer> calls;
+    call_id last_call;
+    bool is_closed = false;
+};
+
+http_client::http_client(asio::io_context& context, const client_limits& limits)
+    : state(std::make_shared<implementation>(context, limits))
+{
+    this->state->schedule_sweep();
+}
+
+http_client::~http_client()
+{
+    this->state->close();
+}
+
+call_id http_client::send(const endpoint& server, http_request request, time_point deadline,
+                          connection_choice choice, call_handler handler)
+{
+    return this->state->send(server, std::move(request), deadline, choice, std::move(handler));
+}
+
+void http_client::cancel(call_id call)
+{
+    this->state->cancel(call);
+}
+
+void http_client::close()
+{
+    this->state->close();
+}
+} // namespace buckthornhill::http
--- /dev/null
+++ b/src/lists/list_edit.cpp
@@ -0,0 +1,59 @@
+#include "lists/list_edit.h"
+
+#include <algorithm>
+
+#include "lists/list_codec.h"
+
+namespace buckthornhill::lists {
+list_edit::list_edit(object_version version, edit_record edit, int max_attempts)
+    : read_version(version)
+    , own_edit(std::move(edit))
+    , attempts_left(max_attempts)
+{
+}
+
+void list_edit::finish(edit_result result, object_version version)
+{
+    this->outcome = result;
+    this->final_version = version;
+    this->next = edit_step::finished;
+}
+
+void list_edit::on_write_answer(write_answer answer, object_version version)
+{
+    if (answer == write_answer::accepted) {
+        this->finish(edit_result::applied, version);
+        return;
+    }
+    //! NOTE A conflict may come from this edit's own earlier write whose answer was lost.
+    this->next = edit_step::read_back;
+}
+
+void list_edit::on_read_back(const std::optional<std::string>& body, object_version version)
+{
+    --this->attempts_left;
+    if (!body) {
+        if (this->attempts_left <= 0) {
+            this->finish(edit_result::unknown, object_version{});
+        }
+        return;
+    }
+    const auto edits = parse_edits(*body);
+    const bool is_found = std::any_of(
+        edits.begin(), edits.end(), [this](const edit_record& edit) { return edit.id == this->own_edit.id; });
+    if (is_found) {
+        this->finish(edit_result::applied, version);
+        return;
+    }
+    if (version != this->read_version) {
+        this->finish(edit_result::conflict, version);
+        return;
+    }
+    if (this->attempts_left <= 0) {
+        this->finish(edit_result::unknown, object_version{});
+        return;
+    }
+    //! NOTE Writing again is safe: of two writes on one version the store accepts one.
+    this->next = edit_step::write;
+}
+} // namespace buckthornhill::lists
--- /dev/null
+++ b/src/lists/list_edit.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "lists/lists_types.h"
+
+namespace buckthornhill::lists {
+enum class edit_step { write, read_back, finished };
+
+enum class edit_result {
+    applied,
+    conflict, //!< another operator's edit came first; nothing was merged
+    unknown   //!< the store did not answer; the edit may or may not take effect
+};
+
+enum class write_answer { accepted, version_conflict, lost };
+
+//! One operator's edit of a document as a conditional update that survives lost answers.
+//! After a lost answer the document is read back and searched for the edit's id.
+class list_edit
+{
+public:
+    list_edit(object_version read_version, edit_record edit, int max_attempts);
+
+    edit_step step() const { return this->next; }
+    object_version expected_version() const { return this->read_version; }
+    const edit_record& edit() const { return this->own_edit; }
+    edit_result result() const { return this->outcome; }
+    object_version applied_version() const { return this->final_version; }
+
+    void on_write_answer(write_answer answer, object_version version);
+    //! `body` is empty when the store did not answer the read.
+    void on_read_back(const std::optional<std::string>& body, object_version version);
+
+private:
+    void finish(edit_result result, object_version version);
+
+    object_version read_version;
+    edit_record own_edit;
+    int attempts_left;
+    edit_step next = edit_step::write;
+    edit_result outcome = edit_result::unknown;
+    object_version final_version;
+};
+} // namespace buckthornhill::lists
--- /dev/null
+++ b/src/lists/lists_types.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "global/ids.h"
+#include "membership/membership_types.h"
+#include "ownership/ownership_types.h"
+
+//! The operators' lists, the drain marks and the platform's list of instances, as typed documents.
+namespace buckthornhill::lists {
+enum class document_name { plans, quotas, drains, instances };
+
+inline constexpr document_name all_documents[] = {document_name::plans, document_name::quotas,
+                                                  document_name::drains, document_name::instances};
+
+struct customer_entry
+{
+    customer_id name;
+    plan_id plan;
+};
+
+//! Record that an operator called a customer before a planned slowdown.
+struct call_record
+{
+    customer_id customer;
+    std::string subject; //!< what the call announced, for example `drain:d1`
+    std::string by;      //!< the operator
+};
+
+struct plans_list
+{
+    std::vector<plan_id> plans;
+    std::vector<customer_entry> customers;
+    std::vector<call_record> calls;
+};
+
+//! What each customer of a plan may use at once in a region of a service.
+struct quota_entry
+{
+    plan_id plan;
+    region_id region;
+    service_id service;
+    slot_count slots;
+};
+
+struct quotas_list
+{
+    std::vector<quota_entry> quotas;
+};
+
+enum class drain_target_kind { upstream, domain, region };
+
+struct drain_mark
+{
+    std::string id;
+    drain_target_kind kind = drain_target_kind::upstream;
+    std::string target;
+};
+
+struct drains_list
+{
+    std::vector<drain_mark> drains;
+};
+
+struct instances_list
+{
+    std::vector<membership::member_description> entries;
+    std::vector<ownership::upstream_description> upstreams;
+};
+
+//! Last edits of a document, newest last. They tell whether an edit with a lost answer took effect.
+struct edit_record
+{
+    std::string id;
+    std::string by;
+};
+
+using version_map = std::map<document_name, object_version>;
+} // namespace buckthornhill::lists
--- /dev/null
+++ b/src/membership/member_table.cpp
@@ -0,0 +1,240 @@
+#include "membership/member_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace buckthornhill::membership {
+namespace {
+constexpr std::uint64_t rounds_that_spread_a_change = 4;
+
+bool is_serving(member_state state)
+{
+    return state == member_state::live;
+}
+
+bool is_running(member_state state)
+{
+    return state == member_state::joining || state == member_state::live || state == member_state::leaving;
+}
+
+bool is_newer(const member_record& candidate, const member_record& known)
+{
+    if (candidate.description.incarnation != known.description.incarnation) {
+        return candidate.description.incarnation > known.description.incarnation;
+    }
+    if (candidate.sequence != known.sequence) {
+        return candidate.sequence > known.sequence;
+    }
+    return candidate.state > known.state;
+}
+} // namespace
+
+member_table::member_table(member_description self, const membership_configuration& settings,
+                           random_hook source)
+    : own{std::move(self), member_state::joining, 0}
+    , configuration(settings)
+    , random(std::move(source))
+{
+}
+
+void member_table::on_seed(time_point now, const std::vector<member_description>& seeds)
+{
+    for (const auto& seed : seeds) {
+        if (seed.id == this->own.description.id) {
+            continue;
+        }
+        auto [position, is_new] = this->members.try_emplace(seed.id);
+        if (is_new) {
+            position->second = {{seed, member_state::seeded, 0}, now, this->round};
+            continue;
+        }
+        //! NOTE A replaced instance may come back at another address before its first heartbeat.
+        auto& known = position->second.record;
+        if (known.state == member_state::seeded || known.state == member_state::gone) {
+            known.description.peer_address = seed.peer_address;
+            known.description.caller_address = seed.caller_address;
+        }
+    }
+}
+
+bool member_table::merge_one(time_point now, const member_record& record)
+{
+    if (record.description.id == this->own.description.id || record.state == member_state::seeded) {
+        return false;
+    }
+    auto [position, is_new] = this->members.try_emplace(record.description.id);
+    auto& known = position->second;
+    if (!is_new && !is_newer(record, known.record)) {
+        return false;
+    }
+    const auto old_state = is_new ? member_state::seeded : known.record.state;
+    const bool is_other_run = known.record.description.incarnation != record.description.incarnation;
+    known.record = record;
+    known.heard_at = now;
+    if (old_state == record.state && !is_other_run) {
+        return false;
+    }
+    known.changed_in_round = this->round;
+    return is_serving(old_state) || is_serving(record.state);
+}
+
+bool member_table::merge(time_point now, const gossip& records)
+{
+    bool has_changed = false;
+    for (const auto& record : records) {
+        has_changed |= this->merge_one(now, record);
+    }
+    if (has_changed) {
+        ++this->view_epoch;
+    }
+    return has_changed;
+}
+
+bool member_table::is_domain_peer(const entry& member) const
+{
+    return member.record.description.domain == this->own.description.domain;
+}
+
+duration member_table::timeout_of(const entry& member) const
+{
+    if (this->is_domain_peer(member)) {
+        return this->configuration.gone_timeout;
+    }
+    //! NOTE News of a distant member comes through gossip in rotation, so its silence means less.
+    const auto rounds =
+        this->members.size() / std::max<std::size_t>(1, this->configuration.max_gossip_records);
+    return this->configuration.gone_timeout + this->configuration.heartbeat_interval * rounds;
+}
+
+bool member_table::on_tick(time_point now)
+{
+    bool has_changed = false;
+    for (auto& [id, member] : this->members) {
+        const auto state = member.record.state;
+        const bool is_present = is_running(state);
+        if (!is_present || now - member.heard_at <= this->timeout_of(member)) {
+            continue;
+        }
+        member.record.state = member_state::gone;
+        member.changed_in_round = this->round;
+        has_changed |= is_serving(state);
+    }
+    if (has_changed) {
+        ++this->view_epoch;
+    }
+    return has_changed;
+}
+
+void member_table::restart_timeouts(time_point now)
+{
+    for (auto& [id, member] : this->members) {
+        member.heard_at = now;
+    }
+}
+
+gossip member_table::next_gossip()
+{
+    ++this->round;
+    ++this->own.sequence;
+    gossip records{this->own};
+    for (const auto& [id, member] : this->members) {
+        const bool is_recent = this->round <= member.changed_in_round + rounds_that_spread_a_change;
+        const bool is_first = is_recent || this->is_domain_peer(member);
+        const bool is_known = member.record.state != member_state::seeded;
+        if (is_known && is_first && records.size() < this->configuration.max_gossip_records) {
+            records.push_back(member.record);
+        }
+    }
+    this->append_rotation(records);
+    return records;
+}
+
+void member_table::append_rotation(gossip& records)
+{
+    std::set<instance_id> present;
+    for (const auto& record : records) {
+        present.insert(record.description.id);
+    }
+    auto position = this->members.upper_bound(this->rotation_position);
+    for (std::size_t seen = 0; seen < this->members.size(); ++seen) {
+        if (records.size() >= this->configuration.max_gossip_records) {
+            break;
+        }
+        if (position == this->members.end()) {
+            position = this->members.begin();
+        }
+        const auto& member = position->second;
+        if (member.record.state != member_state::seeded && !present.contains(position->first)) {
+            records.push_back(member.record);
+        }
+        this->rotation_position = position->first;
+        ++position;
+    }
+}
+
+std::vector<instance_id> member_table::pick_targets()
+{
+    std::vector<instance_id> targets;
+    std::vector<instance_id> distant;
+    std::vector<instance_id> silent;
+    for (const auto& [id, member] : this->members) {
+        if (member.record.state == member_state::gone) {
+            silent.push_back(id);
+        } else if (this->is_domain_peer(member)) {
+            targets.push_back(id);
+        } else {
+            distant.push_back(id);
+        }
+    }
+    const auto wanted = std::min(this->configuration.random_targets, distant.size());
+    for (std::size_t i = 0; i < wanted; ++i) {
+        std::swap(distant[i], distant[i + this->random() % (distant.size() - i)]);
+        targets.push_back(distant[i]);
+    }
+    if (!silent.empty()) {
+        //! NOTE One try a round finds a member again once a cut between regions has healed.
+        targets.push_back(silent[this->random() % silent.size()]);
+    }
+    return targets;
+}
+
+void member_table::set_state(member_state state)
+{
+    if (this->own.state == state) {
+        return;
+    }
+    this->own.state = state;
+    ++this->own.sequence;
+    ++this->view_epoch;
+}
+
+const member_table::entry* member_table::find(const instance_id& id) const
+{
+    const auto found = this->members.find(id);
+    return found == this->members.end() ? nullptr : &found->second;
+}
+
+const member_table::entry* member_table::find_incarnation(incarnation_id incarnation) const
+{
+    for (const auto& [id, member] : this->members) {
+        if (is_running(member.record.state) && member.record.description.incarnation == incarnation) {
+            return &member;
+        }
+    }
+    return nullptr;
+}
+
+std::vector<member_description> member_table::live_members() const
+{
+    std::vector<member_description> live;
+    if (is_serving(this->own.state)) {
+        live.push_back(this->own.description);
+    }
+    for (const auto& [id, member] : this->members) {
+        if (is_serving(member.record.state)) {
+            live.push_back(member.record.description);
+        }
+    }
+    return live;
+}
+} // namespace buckthornhill::membership
--- /dev/null
+++ b/src/membership/member_table.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "membership/membership_types.h"
+
+namespace buckthornhill::membership {
+//! One instance's view of all members. Not thread-safe; time and randomness come from the caller.
+class member_table
+{
+public:
+    struct entry
+    {
+        member_record record;
+        time_point heard_at; //!< when the sequence last rose
+        std::uint64_t changed_in_round = 0;
+    };
+
+    member_table(member_description self, const membership_configuration& configuration, random_hook random);
+
+    const member_record& self() const { return this->own; }
+    //! Adds members that the platform's list names and that are unknown here.
+    void on_seed(time_point now, const std::vector<member_description>& seeds);
+    //! Takes newer records over; returns whether the view changed.
+    bool merge(time_point now, const gossip& records);
+    //! Ends members that have been silent for too long; returns whether the view changed.
+    bool on_tick(time_point now);
+    //! After a freeze of this process silence proves nothing: every timeout starts afresh.
+    void restart_timeouts(time_point now);
+    //! Records for the next heartbeat: the own one, recent changes, the own domain, then others in rotation.
+    gossip next_gossip();
+    //! Members that the next round of heartbeats goes to.
+    std::vector<instance_id> pick_targets();
+    void set_state(member_state state);
+
+    const entry* find(const instance_id& id) const;
+    //! A member that may still be reached under this incarnation, itself excluded.
+    const entry* find_incarnation(incarnation_id incarnation) const;
+    //! Members that may own and be named to callers, this one included while it is live.
+    std::vector<member_description> live_members() const;
+    std::size_t size() const { return this->members.size(); }
+    const std::map<instance_id, entry>& all() const { return this->members; }
+    //! Rises with each change of the live set.
+    std::uint64_t epoch() const { return this->view_epoch; }
+
+private:
+    bool merge_one(time_point now, const member_record& record);
+    void append_rotation(gossip& records);
+    duration timeout_of(const entry& member) const;
+    bool is_domain_peer(const entry& member) const;
+
+    member_record own;
+    membership_configuration configuration;
+    random_hook random;
+    std::map<instance_id, entry> members;
+    instance_id rotation_position;
+    std::uint64_t view_epoch = 1;
+    std::uint64_t round = 0;
+};
+} // namespace buckthornhill::membership
--- /dev/null
+++ b/src/node/entry_node.cpp
@@ -0,0 +1,529 @@
+#include "node/entry_node.h"
+
+#include <algorithm>
+
+namespace buckthornhill::node {
+using membership::member_state;
+
+namespace {
+constexpr std::size_t max_notes_in_heartbeat = 64;
+constexpr std::chrono::milliseconds handover_retry_interval{500};
+constexpr std::chrono::seconds handover_give_up{5};
+} // namespace
+
+entry_node::entry_node(const membership::member_description& self, const node_configuration& settings,
+                       random_hook source)
+    : configuration(settings)
+    , random(std::move(source))
+    , state(self, this->configuration, this->random)
+    , coordinator(this->state, this->configuration, self.id, self.region, this->outbox)
+{
+}
+
+void entry_node::notice_time(time_point now)
+{
+    const auto paused_for = now - this->last_event;
+    const bool was_paused =
+        this->last_event != time_point{} && paused_for > this->configuration.freeze_threshold;
+    this->last_event = now;
+    if (!was_paused) {
+        return;
+    }
+    //! NOTE Others may have taken this instance's upstreams over, so it asks a peer before it admits again.
+    this->state.members.restart_timeouts(now);
+    this->state.admission.restart_ramps(now);
+    if (this->state.members.size() > 0 && !this->awaits_resync) {
+        this->awaits_resync = true;
+        this->coordinator.set_admitting(false);
+        this->next_heartbeat = now;
+    }
+}
+
+void entry_node::finish_resync(time_point now)
+{
+    if (!this->awaits_resync) {
+        return;
+    }
+    this->awaits_resync = false;
+    this->coordinator.set_admitting(true);
+    if (this->leave_step == leave_phase::serving) {
+        this->state.members.set_state(member_state::live);
+    }
+    this->rebuild(now);
+    this->next_heartbeat = now;
+}
+
+void entry_node::on_caller_request(time_point now, const request_facts& facts)
+{
+    this->notice_time(now);
+    this->coordinator.on_caller_request(now, facts);
+    this->share_notes(now);
+}
+
+void entry_node::on_forwarded_request(time_point now, const request_facts& facts,
+                                      const forwarded_facts& forwarded)
+{
+    this->notice_time(now);
+    this->coordinator.on_forwarded_request(now, facts, forwarded);
+}
+
+void entry_node::on_upstream_result(time_point now, flow_id flow, std::uint64_t attempt,
+                                    const upstream_id& upstream, const upstream_result& result)
+{
+    this->notice_time(now);
+    bool has_changed = false;
+    if (result.status == attempt_status::complete) {
+        has_changed |= this->state.health.on_success(now, upstream);
+    } else if (result.status != attempt_status::cancelled) {
+        has_changed |= this->state.health.on_failure(now, upstream);
+    }
+    if (result.is_leaving) {
+        has_changed |= this->state.health.on_leaving_sign(upstream);
+    }
+    if (has_changed) {
+        this->apply_conditions(now);
+    }
+    this->coordinator.on_upstream_result(now, flow, attempt, result);
+    this->share_notes(now);
+}
+
+void entry_node::on_peer_result(time_point now, flow_id flow, std::uint64_t attempt,
+                                const peer_result& result)
+{
+    this->notice_time(now);
+    this->coordinator.on_peer_result(now, flow, attempt, result);
+    this->share_notes(now);
+}
+
+void entry_node::on_cancelled(time_point now, flow_id flow)
+{
+    this->coordinator.on_cancelled(now, flow);
+}
+
+void entry_node::on_probe_result(time_point now, const upstream_id& upstream, const probe_result& result)
+{
+    this->notice_time(now);
+    bool has_changed = result.is_alive ? this->state.health.on_success(now, upstream)
+                                       : this->state.health.on_failure(now, upstream);
+    if (result.is_leaving) {
+        has_changed |= this->state.health.on_leaving_sign(upstream);
+    }
+    const auto* description = this->state.directory.find(upstream);
+    if (description != nullptr && result.reported_in_use >= 0) {
+        this->state.admission.on_load_report(now, description->service, upstream, result.reported_in_use);
+    }
+    if (has_changed) {
+        this->apply_conditions(now);
+    }
+}
+
+lists::offer_result entry_node::on_document(time_point now, lists::document_name name, object_version version,
+                                            const std::string& body)
+{
+    this->notice_time(now);
+    const auto result = this->state.lists.offer(name, version, body);
+    if (result != lists::offer_result::accepted) {
+        return result;
+    }
+    const auto& lists = this->state.lists;
+    this->state.usage.set_lists(lists.plans(), lists.quotas());
+    if (name == lists::document_name::instances) {
+        this->state.members.on_seed(now, lists.instances().entries);
+        this->state.directory.rebuild(lists.instances().upstreams);
+    }
+    this->state.gate.update(lists.plans(), lists.quotas(), lists.drains(), lists.instances());
+    this->rebuild(now);
+    return result;
+}
+
+void entry_node::on_store_confirmed(time_point now)
+{
+    this->notice_time(now);
+    this->has_store_answer = true;
+    this->confirmed_at = now;
+    if (this->state.members.self().state == member_state::joining) {
+        this->finish_resync(now);
+    }
+}
+
+void entry_node::on_seed_peers(time_point now, const std::vector<membership::member_description>& seeds)
+{
+    this->state.members.on_seed(now, seeds);
+}
+
+bool entry_node::is_confirmed(time_point now) const
+{
+    return this->confirmed_at != time_point{} &&
+           now - this->confirmed_at <= this->configuration.confirm_lifetime;
+}
+
+void entry_node::rebuild(time_point now)
+{
+    const auto& upstreams = this->state.lists.instances().upstreams;
+    const auto& self = this->state.members.self().description.id;
+    this->rebuilt_epoch = this->state.members.epoch();
+    this->state.owners.rebuild(this->state.members.live_members(), upstreams);
+    std::vector<upstream_id> kept;
+    for (const auto& upstream : upstreams) {
+        if (this->state.owners.owner_of(upstream.id) != self || this->awaits_resync) {
+            this->state.health.release(upstream.id);
+            continue;
+        }
+        kept.push_back(upstream.id);
+        this->state.admission.own(now, upstream);
+        this->state.health.own(now, upstream.id, upstream.service);
+    }
+    this->state.admission.release_all_but(now, kept);
+    for (const auto& [id, member] : this->state.members.all()) {
+        if (member.record.state == member_state::gone) {
+            this->state.selector.forget(id);
+            this->ejected_elsewhere.erase(id);
+        }
+    }
+    this->rebuild_shares(now);
+    this->apply_conditions(now);
+    this->refresh_own_report(now);
+}
+
+void entry_node::rebuild_shares(time_point now)
+{
+    const auto& self = this->state.members.self().description;
+    std::map<service_id, std::pair<std::int64_t, std::int64_t>> by_service;
+    std::int64_t owned_of_all = 0;
+    std::int64_t all = 0;
+    for (const auto& upstream : this->state.lists.instances().upstreams) {
+        if (upstream.region != self.region) {
+            continue;
+        }
+        const bool is_owned = this->state.admission.find(upstream.service) != nullptr &&
+                              this->state.admission.find(upstream.service)->owns(upstream.id);
+        const auto slots = upstream.slots.value();
+        by_service[upstream.service].first += is_owned ? slots : 0;
+        by_service[upstream.service].second += slots;
+        owned_of_all += is_owned ? slots : 0;
+        all += slots;
+    }
+    for (const auto& [service, slots] : by_service) {
+        this->state.shift.set_service_share(now, service, slots.first, slots.second);
+    }
+    this->state.shift.set_link_share(now, owned_of_all, all);
+}
+
+void entry_node::apply_admission(time_point now, const ownership::upstream_description& upstream)
+{
+    const bool may_admit = !upstream.is_leaving && !this->state.gate.is_drained(upstream) &&
+                           this->state.health.condition_of(upstream.id) == health::condition::healthy;
+    this->state.admission.set_admitting(now, upstream.service, upstream.id, may_admit);
+}
+
+void entry_node::apply_conditions(time_point now)
+{
+    for (const auto& [service, ids] : this->state.directory.services()) {
+        std::int64_t elsewhere = 0;
+        for (const auto& [peer, counts] : this->ejected_elsewhere) {
+            const auto found = counts.find(service);
+            elsewhere += found == counts.end() ? 0 : found->second;
+        }
+        this->state.health.set_service_view(service, ids.size(), static_cast<std::size_t>(elsewhere));
+    }
+    for (const auto& upstream : this->state.lists.instances().upstreams) {
+        this->apply_admission(now, upstream);
+    }
+    this->state.admission.on_tick(now);
+    this->coordinator.handle_admission_events(now);
+}
+
+void entry_node::refresh_own_report(time_point now)
+{
+    const auto& self = this->state.members.self().description;
+    for (const auto& report : this->state.admission.reports(now)) {
+        this->state.selector.on_report(now, self.id, {self.region, self.domain}, report, 0);
+    }
+}
+
+peers::heartbeat entry_node::make_heartbeat(time_point now, const instance_id& receiver,
+                                            membership::gossip gossip)
+{
+    peers::heartbeat message;
+    message.members = std::move(gossip);
+    message.versions = this->state.lists.versions();
+    message.reports = this->state.admission.reports(now);
+    message.handovers = this->state.handovers.incarnations();
+    message.crash_notes = this->notes_to_send;
+    const auto* peer = this->state.members.find(receiver);
+    const bool is_same_region =
+        peer != nullptr && peer->record.description.region == this->state.members.self().description.region;
+    for (auto& [service, admission] : this->state.admission.services()) {
+        const auto granted = admission.granted_to(now, receiver);
+        if (granted > 0) {
+            message.credits[service] = granted;
+        }
+    }
+    for (const auto& [service, ids] : this->state.directory.services()) {
+        const auto wanted = is_same_region ? 0 : this->state.selector.wanted_credits(now, service);
+        if (wanted > 0) {
+            message.wants[service] = wanted;
+        }
+        const auto ejected = this->state.health.ejected_count(service);
+        if (ejected > 0) {
+            message.ejected[service] = static_cast<std::int64_t>(ejected);
+        }
+    }
+    if (is_same_region) {
+        message.usage = this->state.usage.own_usage();
+        message.wants_tickets = this->stock.is_low(receiver, this->configuration.peer_tickets / 4);
+    }
+    if (this->ticket_askers.erase(receiver) > 0 && !this->state.tickets.sealed()) {
+        message.tickets = this->state.tickets.issue(this->configuration.peer_tickets);
+    }
+    return message;
+}
+
+void entry_node::send_heartbeats(time_point now, const std::vector<instance_id>& targets)
+{
+    const auto gossip = this->state.members.next_gossip();
+    for (const auto& target : targets) {
+        const auto* member = this->state.members.find(target);
+        if (member != nullptr) {
+            this->outbox.push_back(heartbeat_action{target, member->record.description.peer_address,
+                                                    this->make_heartbeat(now, target, gossip)});
+        }
+    }
+}
+
+std::vector<instance_id> entry_node::all_members() const
+{
+    std::vector<instance_id> ids;
+    for (const auto& [id, member] : this->state.members.all()) {
+        if (member.record.state != member_state::gone) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+void entry_node::share_notes(time_point now)
+{
+    const auto notes = this->coordinator.take_fresh_notes();
+    if (notes.empty()) {
+        return;
+    }
+    this->notes_to_send = notes;
+    this->send_heartbeats(now, this->all_members());
+    this->notes_to_send.clear();
+}
+
+void entry_node::absorb_reports(time_point now, const peers::heartbeat& message)
+{
+    const auto& sender = message.members.front();
+    const auto& id = sender.description.id;
+    if (sender.state != member_state::live) {
+        this->state.selector.forget(id);
+        return;
+    }
+    for (const auto& report : message.reports) {
+        const auto credit = message.credits.find(report.service);
+        this->state.selector.on_report(now, id, {sender.description.region, sender.description.domain},
+                                       report, credit == message.credits.end() ? 0 : credit->second);
+    }
+    for (const auto& [service, wanted] : message.wants) {
+        this->state.shift.on_demand(now, service);
+        if (auto* admission = this->state.admission.find(service)) {
+            admission->on_want(now, id, wanted);
+        }
+    }
+    this->ejected_elsewhere[id] = message.ejected;
+}
+
+void entry_node::absorb(time_point now, const peers::heartbeat& message)
+{
+    const auto& sender = message.members.front().description;
+    const bool has_changed = this->state.members.merge(now, message.members);
+    this->absorb_reports(now, message);
+    if (sender.region == this->state.members.self().description.region) {
+        this->state.usage.on_peer_usage(now, sender.id, message.usage);
+    }
+    for (const auto& note : message.crash_notes) {
+        this->state.crashes.on_note(now, note);
+    }
+    for (const auto incarnation : message.handovers) {
+        this->state.handover_holders[incarnation] = sender.id;
+    }
+    if (message.tickets.count > 0) {
+        this->stock.add(sender.id, message.tickets);
+    }
+    if (message.wants_tickets) {
+        this->ticket_askers.insert(sender.id);
+    }
+    const auto missing = this->state.lists.missing_from(message.versions);
+    for (const auto name : missing) {
+        this->outbox.push_back(fetch_document_action{sender.peer_address, name});
+    }
+    if (missing.empty()) {
+        this->confirmed_at = now;
+    }
+    const bool knows_lists = missing.empty() && !message.versions.empty();
+    if (knows_lists || (this->awaits_resync && this->has_store_answer)) {
+        this->finish_resync(now);
+    }
+    if (has_changed) {
+        this->rebuild(now);
+    }
+}
+
+peers::heartbeat entry_node::on_heartbeat(time_point now, const peers::heartbeat& message)
+{
+    this->notice_time(now);
+    this->absorb(now, message);
+    return this->make_heartbeat(now, message.members.front().description.id,
+                                this->state.members.next_gossip());
+}
+
+void entry_node::on_heartbeat_answer(time_point now, const peers::heartbeat& message)
+{
+    this->notice_time(now);
+    this->absorb(now, message);
+}
+
+void entry_node::on_handover(const requests::ticket_handover& handover)
+{
+    this->state.handovers.accept(handover);
+}
+
+lookup_answer entry_node::look_up(time_point now, const service_id& service, const region_id& client_region)
+{
+    this->notice_time(now);
+    const auto& own = this->state.members.self().description;
+    const auto& wanted_region = client_region.empty() ? own.region : client_region;
+    std::vector<membership::member_description> near;
+    std::vector<membership::member_description> far;
+    for (auto& member : this->state.members.live_members()) {
+        (member.region == wanted_region ? near : far).push_back(std::move(member));
+    }
+    const auto shuffle = [this](std::vector<membership::member_description>& members) {
+        for (std::size_t i = members.size(); i > 1; --i) {
+            std::swap(members[i - 1], members[this->random() % i]);
+        }
+    };
+    shuffle(near);
+    shuffle(far);
+    near.insert(near.end(), far.begin(), far.end());
+    near.resize(std::min(near.size(), this->configuration.lookup_entries));
+    lookup_answer answer;
+    answer.ttl = this->configuration.lookup_ttl;
+    for (const auto& member : near) {
+        answer.entries.push_back({member.id, member.region, member.caller_address});
+    }
+    if (near.empty() || !this->state.directory.knows(service)) {
+        return answer;
+    }
+    const auto& first = near.front();
+    if (first.id != own.id) {
+        answer.tickets = this->stock.take(first.id, first.incarnation, this->configuration.lookup_tickets);
+    } else if (!this->state.tickets.sealed()) {
+        answer.tickets = this->state.tickets.issue(this->configuration.lookup_tickets);
+    }
+    return answer;
+}
+
+void entry_node::begin_leave(time_point now)
+{
+    if (this->leave_step != leave_phase::serving) {
+        return;
+    }
+    this->leave_step = leave_phase::lingering;
+    this->leave_started = now;
+    this->state.members.set_state(member_state::leaving);
+    this->send_heartbeats(now, this->all_members());
+    this->rebuild(now);
+}
+
+void entry_node::send_handover()
+{
+    const auto live = this->state.members.live_members();
+    if (live.empty()) {
+        this->on_handover_answer(false);
+        return;
+    }
+    const auto& peer = live[this->random() % live.size()];
+    this->outbox.push_back(handover_action{peer.id, peer.peer_address, this->state.tickets.make_handover()});
+}
+
+void entry_node::on_handover_answer(bool is_accepted)
+{
+    if (this->leave_step != leave_phase::handing_over || !is_accepted) {
+        return;
+    }
+    this->leave_step = leave_phase::stopped;
+    this->state.members.set_state(member_state::gone);
+    this->send_heartbeats(this->last_event, this->all_members());
+}
+
+void entry_node::advance_leave(time_point now)
+{
+    if (this->leave_step == leave_phase::lingering) {
+        const bool has_lingered = now - this->leave_started >= this->configuration.leave_linger;
+        if (!has_lingered || this->coordinator.flow_count() > 0) {
+            return;
+        }
+        this->state.tickets.seal();
+        this->leave_step = leave_phase::handing_over;
+        this->leave_started = now;
+        this->handover_sent = now;
+        this->send_handover();
+        return;
+    }
+    if (this->leave_step != leave_phase::handing_over) {
+        return;
+    }
+    if (now - this->leave_started >= handover_give_up) {
+        this->on_handover_answer(true);
+    } else if (now - this->handover_sent >= handover_retry_interval) {
+        this->handover_sent = now;
+        this->send_handover();
+    }
+}
+
+void entry_node::on_tick(time_point now)
+{
+    this->notice_time(now);
+    if (this->state.members.on_tick(now) || this->rebuilt_epoch != this->state.members.epoch()) {
+        this->rebuild(now);
+    }
+    const bool was_live = this->state.members.self().state != member_state::joining;
+    if (this->awaits_resync && was_live && this->state.members.live_members().size() <= 1) {
+        this->finish_resync(now);
+    }
+    this->state.crashes.on_tick(now);
+    this->state.admission.on_tick(now);
+    this->coordinator.on_tick(now);
+    for (auto& [service, admission] : this->state.admission.services()) {
+        admission.set_remote_cap(this->state.shift.cap(now, service));
+    }
+    for (const auto& upstream : this->state.health.take_due_probes(now)) {
+        if (const auto* description = this->state.directory.find(upstream)) {
+            this->outbox.push_back(probe_action{upstream, description->address});
+        }
+    }
+    this->refresh_own_report(now);
+    this->advance_leave(now);
+    this->share_notes(now);
+    if (now < this->next_heartbeat || this->leave_step == leave_phase::stopped) {
+        return;
+    }
+    this->next_heartbeat = now + this->configuration.membership.heartbeat_interval;
+    for (auto& [service, admission] : this->state.admission.services()) {
+        admission.grant_credits(now);
+    }
+    auto notes = this->state.crashes.notes();
+    if (notes.size() > max_notes_in_heartbeat) {
+        this->note_position = (this->note_position + max_notes_in_heartbeat) % notes.size();
+        std::rotate(notes.begin(), notes.begin() + static_cast<std::ptrdiff_t>(this->note_position),
+                    notes.end());
+        notes.resize(max_notes_in_heartbeat);
+    }
+    this->notes_to_send = std::move(notes);
+    this->send_heartbeats(now, this->state.members.pick_targets());
+    this->notes_to_send.clear();
+}
+} // namespace buckthornhill::node
--- /dev/null
+++ b/src/node/entry_node.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "node/node_slices.h"
+#include "node/request_coordinator.h"
+#include "node/ticket_stock.h"
+
+namespace buckthornhill::node {
+//! All decisions of one entry instance. Events come in with their time; `take_actions` gives what to do.
+class entry_node
+{
+public:
+    entry_node(const membership::member_description& self, const node_configuration& configuration,
+               random_hook random);
+    entry_node(const entry_node&) = delete;
+    entry_node& operator=(const entry_node&) = delete;
+
+    void on_caller_request(time_point now, const request_facts& facts);
+    void on_forwarded_request(time_point now, const request_facts& facts, const forwarded_facts& forwarded);
+    void on_upstream_result(time_point now, flow_id flow, std::uint64_t attempt, const upstream_id& upstream,
+                            const upstream_result& result);
+    void on_peer_result(time_point now, flow_id flow, std::uint64_t attempt, const peer_result& result);
+    void on_cancelled(time_point now, flow_id flow);
+    void on_probe_result(time_point now, const upstream_id& upstream, const probe_result& result);
+
+    //! A heartbeat from a peer; returns the answer to it.
+    peers::heartbeat on_heartbeat(time_point now, const peers::heartbeat& message);
+    void on_heartbeat_answer(time_point now, const peers::heartbeat& message);
+    //! A document from the store or a peer. Version 0 says that the store has none.
+    lists::offer_result on_document(time_point now, lists::document_name name, object_version version,
+                                    const std::string& body);
+    //! Every document of the store was read once since the start.
+    void on_store_confirmed(time_point now);
+    void on_handover(const requests::ticket_handover& handover);
+    void on_handover_answer(bool is_accepted);
+    //! Peers named in the settings, for a start while the store is down.
+    void on_seed_peers(time_point now, const std::vector<membership::member_description>& seeds);
+
+    lookup_answer look_up(time_point now, const service_id& service, const region_id& client_region);
+    //! Starts a planned stop: others take over, requests in flight end, outcomes go to a peer.
+    void begin_leave(time_point now);
+    bool is_stopped() const { return this->leave_step == leave_phase::stopped; }
+    bool is_leaving() const { return this->leave_step != leave_phase::serving; }
+    bool is_resynchronizing() const { return this->awaits_resync; }
+    //! Versions were confirmed lately with the store or a peer.
+    bool is_confirmed(time_point now) const;
+
+    void on_tick(time_point now);
+    std::vector<action> take_actions() { return std::exchange(this->outbox, {}); }
+
+    node_slices& slices() { return this->state; }
+    std::size_t flow_count() const { return this->coordinator.flow_count(); }
+
+private:
+    enum class leave_phase { serving, lingering, handing_over, stopped };
+
+    void notice_time(time_point now);
+    void finish_resync(time_point now);
+    void rebuild(time_point now);
+    void rebuild_shares(time_point now);
+    void apply_admission(time_point now, const ownership::upstream_description& upstream);
+    void apply_conditions(time_point now);
+    void absorb(time_point now, const peers::heartbeat& message);
+    void absorb_reports(time_point now, const peers::heartbeat& message);
+    peers::heartbeat make_heartbeat(time_point now, const instance_id& receiver, membership::gossip gossip);
+    void send_heartbeats(time_point now, const std::vector<instance_id>& targets);
+    std::vector<instance_id> all_members() const;
+    void share_notes(time_point now);
+    void refresh_own_report(time_point now);
+    void advance_leave(time_point now);
+    void send_handover();
+
+    node_configuration configuration;
+    random_hook random;
+    std::vector<action> outbox;
+    node_slices state;
+    request_coordinator coordinator;
+    ticket_stock stock;
+    std::map<instance_id, std::map<service_id, std::int64_t>> ejected_elsewhere;
+    std::set<instance_id> ticket_askers;
+    std::vector<quarantine::crash_note> notes_to_send;
+    time_point last_event{};
+    time_point next_heartbeat{};
+    time_point confirmed_at{};
+    time_point leave_started{};
+    time_point handover_sent{};
+    std::uint64_t rebuilt_epoch = 0;
+    std::size_t note_position = 0;
+    bool awaits_resync = true;
+    bool has_store_answer = false;
+    leave_phase leave_step = leave_phase::serving;
+};
+} // namespace buckthornhill::node
--- /dev/null
+++ b/src/node/node_types.h
@@ -0,0 +1,185 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "admission/admission_types.h"
+#include "health/health_types.h"
+#include "membership/membership_types.h"
+#include "peers/peers_types.h"
+#include "quarantine/quarantine_types.h"
+#include "requests/requests_types.h"
+#include "shift/shift_types.h"
+#include "steering/steering_types.h"
+
+//! One entry instance's decisions as a state machine: events with a time in, actions out.
+//! No socket, thread, clock or random source of its own, so the daemon and a replayed trace run the same
+//! code.
+namespace buckthornhill::node {
+struct node_configuration
+{
+    membership::membership_configuration membership;
+    admission::admission_configuration admission;
+    steering::steering_configuration steering;
+    shift::shift_configuration shift;
+    health::health_configuration health;
+    quarantine::quarantine_configuration quarantine;
+    requests::requests_configuration requests;
+    std::chrono::milliseconds freeze_threshold{
+        1500};                                    //!< between two events; longer means the process was paused
+    std::chrono::milliseconds leave_linger{4000}; //!< a leaving instance forwards for so long at least
+    std::chrono::milliseconds confirm_lifetime{
+        5000};                                   //!< versions confirmed longer ago are reported as doubtful
+    std::chrono::milliseconds answer_grace{100}; //!< beyond the deadline for an owner's refusal to arrive
+    std::uint64_t lookup_tickets = 8;            //!< in each look-up answer
+    std::uint64_t refusal_tickets = 4;           //!< in each answer to a non-idempotent request
+    std::uint64_t peer_tickets = 256;            //!< lent to a peer at a time
+    std::chrono::milliseconds lookup_ttl{2000};
+    std::size_t lookup_entries = 4;
+};
+
+//! What the decisions need to know of a request; body and headers stay with the I/O.
+struct request_facts
+{
+    flow_id flow;
+    service_id service;
+    customer_id customer;
+    region_id client_region; //!< empty when the caller did not say
+    bool is_idempotent = false;
+    time_point deadline;
+    fingerprint print;
+    std::uint64_t affinity = 0;
+    std::optional<requests::ticket> name; //!< absent on a non-idempotent request without one
+    bool is_forwarded_resend = false;     //!< a peer sent it here because of its ticket; not forwarded again
+};
+
+//! What a peer adds to a request that it forwards to an owner.
+struct forwarded_facts
+{
+    instance_id from;
+    region_id from_region;
+    admission::request_class priority = admission::request_class::no_plan;
+};
+
+enum class peer_request_kind {
+    admit, //!< to the owner of an upstream
+    resend //!< to the incarnation that its ticket names
+};
+
+struct start_upstream_action
+{
+    flow_id flow;
+    std::uint64_t attempt = 0;
+    upstream_id upstream;
+    std::string address;
+    time_point deadline;
+    bool needs_fresh_connection = false;
+};
+
+struct start_peer_action
+{
+    flow_id flow;
+    std::uint64_t attempt = 0;
+    peer_request_kind kind = peer_request_kind::admit;
+    instance_id peer;
+    std::string address;
+    admission::request_class priority = admission::request_class::no_plan;
+    time_point deadline;
+};
+
+struct cancel_action
+{
+    flow_id flow;
+    std::uint64_t attempt = 0;
+};
+
+struct answer_action
+{
+    flow_id flow;
+    requests::outcome result = requests::outcome::not_executed;
+    admission::refusal_reason reason = admission::refusal_reason::none;
+    duration retry_after{};
+    requests::answer_ptr answer;
+    requests::ticket_block tickets;
+};
+
+struct heartbeat_action
+{
+    instance_id peer;
+    std::string address;
+    peers::heartbeat message;
+};
+
+struct fetch_document_action
+{
+    std::string address;
+    lists::document_name name = lists::document_name::plans;
+};
+
+struct probe_action
+{
+    upstream_id upstream;
+    std::string address;
+};
+
+struct handover_action
+{
+    instance_id peer;
+    std::string address;
+    requests::ticket_handover handover;
+};
+
+using action = std::variant<start_upstream_action, start_peer_action, cancel_action, answer_action,
+                            heartbeat_action, fetch_document_action, probe_action, handover_action>;
+
+enum class attempt_status {
+    complete,
+    connect_failed, //!< nothing was sent
+    broken,
+    timed_out,
+    cancelled
+};
+
+struct upstream_result
+{
+    attempt_status status = attempt_status::broken;
+    bool is_shed = false;              //!< the upstream said that it did not run the request
+    bool is_leaving = false;           //!< the upstream said that it drains
+    std::int64_t reported_in_use = -1; //!< negative when the answer carried no load
+    requests::answer_ptr answer;
+};
+
+struct peer_result
+{
+    attempt_status status = attempt_status::broken;
+    requests::outcome result = requests::outcome::unknown;
+    admission::refusal_reason reason = admission::refusal_reason::none;
+    duration retry_after{};
+    requests::answer_ptr answer;
+    requests::ticket_block tickets;
+};
+
+struct probe_result
+{
+    bool is_alive = false;
+    bool is_leaving = false;
+    std::int64_t reported_in_use = -1;
+};
+
+struct lookup_entry
+{
+    instance_id id;
+    region_id region;
+    std::string address;
+};
+
+//! Which entry instances a caller should use, in order, and tickets of the first.
+struct lookup_answer
+{
+    std::vector<lookup_entry> entries;
+    requests::ticket_block tickets;
+    std::chrono::milliseconds ttl{0};
+};
+} // namespace buckthornhill::node
--- /dev/null
+++ b/src/node/request_coordinator.cpp
@@ -0,0 +1,545 @@
+#include "node/request_coordinator.h"
+
+#include "global/hash.h"
+
+namespace buckthornhill::node {
+using admission::admission_kind;
+using admission::attempt_result;
+using admission::refusal_reason;
+using admission::request_origin;
+using quarantine::verdict;
+using requests::outcome;
+using requests::ticket_verdict;
+
+namespace {
+attempt_result attempt_result_of(const upstream_result& result)
+{
+    if (result.status == attempt_status::complete) {
+        return result.is_shed ? attempt_result::shed : attempt_result::completed;
+    }
+    return result.status == attempt_status::broken ? attempt_result::crashed : attempt_result::failed;
+}
+} // namespace
+
+request_coordinator::request_coordinator(node_slices& shared, const node_configuration& settings,
+                                         instance_id own_id, region_id own_region,
+                                         std::vector<action>& actions)
+    : slices(shared)
+    , configuration(settings)
+    , self(std::move(own_id))
+    , region(std::move(own_region))
+    , outbox(actions)
+    , budget(settings.requests.retry_ratio, settings.requests.retry_burst)
+{
+}
+
+request_coordinator::flow_state* request_coordinator::find(flow_id id, std::uint64_t attempt)
+{
+    const auto found = this->flows.find(id);
+    const bool is_current = found != this->flows.end() && found->second.attempt == attempt;
+    return is_current ? &found->second : nullptr;
+}
+
+void request_coordinator::on_caller_request(time_point now, const request_facts& facts)
+{
+    auto& flow = this->flows[facts.flow];
+    flow.facts = facts;
+    flow.priority = this->slices.usage.class_of(now, facts.customer, facts.service);
+    const bool is_shifted = !facts.client_region.empty() && facts.client_region != this->region;
+    flow.origin = is_shifted ? request_origin::remote : request_origin::local;
+    if (this->is_admitting && !this->slices.directory.knows(facts.service)) {
+        this->finish(facts.flow, outcome::not_executed, refusal_reason::no_upstream, {}, nullptr);
+        return;
+    }
+    if (!facts.is_idempotent) {
+        this->open_ticket(now, flow);
+        return;
+    }
+    this->budget.on_first_attempt();
+    flow.is_counted = true;
+    this->slices.usage.on_start(facts.customer, facts.service);
+    this->place(now, flow);
+}
+
+void request_coordinator::open_ticket(time_point now, flow_state& flow)
+{
+    const auto id = flow.facts.flow;
+    if (!flow.facts.name) {
+        this->finish(id, outcome::not_executed, refusal_reason::ticket_required, {}, nullptr);
+        return;
+    }
+    const auto& name = *flow.facts.name;
+    if (name.incarnation != this->slices.members.self().description.incarnation) {
+        this->resend_elsewhere(now, flow);
+        return;
+    }
+    switch (this->slices.tickets.check(name.number)) {
+    case ticket_verdict::never_issued:
+        this->finish(id, outcome::not_executed, refusal_reason::ticket_invalid, {}, nullptr);
+        return;
+    case ticket_verdict::forgotten:
+        this->finish(id, outcome::unknown, refusal_reason::none, {}, nullptr);
+        return;
+    case ticket_verdict::ended:
+        this->answer_ended(flow);
+        return;
+    case ticket_verdict::running:
+        flow.step = phase::joined;
+        this->flows.at(this->slices.tickets.running_flow(name.number)).joined.push_back(id);
+        return;
+    case ticket_verdict::fresh:
+        break;
+    }
+    if (this->slices.tickets.sealed()) {
+        this->finish(id, outcome::not_executed, refusal_reason::leaving, {}, nullptr);
+        return;
+    }
+    this->slices.tickets.start(name.number, id);
+    flow.has_ticket = true;
+    flow.is_counted = true;
+    this->slices.usage.on_start(flow.facts.customer, flow.facts.service);
+    this->place(now, flow);
+}
+
+void request_coordinator::answer_ended(flow_state& flow)
+{
+    const auto* known = this->slices.tickets.find_ended(flow.facts.name->number);
+    this->finish(flow.facts.flow, known->result, refusal_reason::none, {}, known->answer);
+}
+
+void request_coordinator::resend_elsewhere(time_point now, flow_state& flow)
+{
+    const auto& name = *flow.facts.name;
+    const auto* named = this->slices.members.find_incarnation(name.incarnation);
+    if (named != nullptr && !flow.facts.is_forwarded_resend) {
+        this->send_to_peer(now, flow, named->record.description, peer_request_kind::resend);
+        return;
+    }
+    if (this->slices.handovers.holds(name.incarnation)) {
+        this->finish(flow.facts.flow, this->slices.handovers.outcome_of(name), refusal_reason::none, {},
+                     nullptr);
+        return;
+    }
+    const auto holder = this->slices.holder_of(name.incarnation);
+    const auto* member = this->slices.members.find(holder);
+    if (member != nullptr && !flow.facts.is_forwarded_resend) {
+        this->send_to_peer(now, flow, member->record.description, peer_request_kind::resend);
+        return;
+    }
+    //! NOTE The incarnation is gone and nobody keeps its outcomes, so the request may have run.
+    this->finish(flow.facts.flow, outcome::unknown, refusal_reason::none, {}, nullptr);
+}
+
+void request_coordinator::place(time_point now, flow_state& flow)
+{
+    flow.step = phase::placing;
+    const auto id = flow.facts.flow;
+    if (!this->is_admitting) {
+        this->finish(id, outcome::not_executed, refusal_reason::resynchronizing,
+                     std::chrono::milliseconds(200), nullptr);
+        return;
+    }
+    if (this->slices.crashes.judge(flow.facts.print) == verdict::quarantined) {
+        this->finish(id, outcome::not_executed, refusal_reason::quarantined, {}, nullptr);
+        return;
+    }
+    if (flow.facts.deadline <= now) {
+        this->finish(id, outcome::not_executed, refusal_reason::deadline_passed, {}, nullptr);
+        return;
+    }
+    const auto choice = this->pick_owner(now, flow);
+    if (choice.owner.empty()) {
+        this->finish(id, outcome::not_executed, flow.last_reason, flow.last_retry_after, nullptr);
+        return;
+    }
+    flow.owner = choice.owner;
+    this->slices.selector.on_sent(flow.owner, flow.facts.service);
+    if (flow.owner == this->self) {
+        this->offer_here(now, flow);
+        return;
+    }
+    const auto* member = this->slices.members.find(flow.owner);
+    if (member == nullptr) {
+        this->on_owner_refused(now, flow, refusal_reason::no_upstream, {});
+        return;
+    }
+    this->send_to_peer(now, flow, member->record.description, peer_request_kind::admit);
+}
+
+steering::steering_choice request_coordinator::pick_owner(time_point now, const flow_state& flow)
+{
+    const auto& facts = flow.facts;
+    if (this->slices.crashes.judge(facts.print) == verdict::suspected) {
+        const auto owner = this->trial_owner(flow);
+        return flow.tried.contains(owner) ? steering::steering_choice{}
+                                          : steering::steering_choice{owner, false};
+    }
+    const auto* upstream = this->slices.directory.preferred(facts.service, this->region, facts.affinity);
+    const auto preferred = upstream == nullptr ? instance_id{} : this->slices.owners.owner_of(upstream->id);
+    return this->slices.selector.choose(now, facts.service, preferred, flow.tried);
+}
+
+instance_id request_coordinator::trial_owner(const flow_state& flow) const
+{
+    //! NOTE Every instance sends a suspect to the same owner, which runs it one at a time.
+    const auto service = this->slices.directory.services().find(flow.facts.service);
+    const upstream_id* best = nullptr;
+    std::uint64_t best_weight = 0;
+    for (const auto& id : service->second) {
+        const auto weight = hash_text(id.str(), flow.facts.print.value());
+        const auto* upstream = this->slices.directory.find(id);
+        const bool is_usable = !upstream->is_leaving && !this->slices.gate.is_drained(*upstream);
+        if (is_usable && (best == nullptr || weight > best_weight)) {
+            best = &id;
+            best_weight = weight;
+        }
+    }
+    return best == nullptr ? instance_id{} : this->slices.owners.owner_of(*best);
+}
+
+void request_coordinator::send_to_peer(time_point now, flow_state& flow,
+                                       const membership::member_description& peer, peer_request_kind kind)
+{
+    flow.step = phase::at_peer;
+    flow.peer_kind = kind;
+    ++flow.attempt;
+    const auto deadline = std::max(flow.facts.deadline, now) + this->configuration.answer_grace;
+    this->outbox.push_back(start_peer_action{flow.facts.flow, flow.attempt, kind, peer.id, peer.peer_address,
+                                             flow.priority, deadline});
+}
+
+void request_coordinator::on_forwarded_request(time_point now, const request_facts& facts,
+                                               const forwarded_facts& forwarded)
+{
+    auto& flow = this->flows[facts.flow];
+    flow.facts = facts;
+    flow.is_forwarded = true;
+    flow.priority = forwarded.priority;
+    const bool is_other_region = forwarded.from_region != this->region;
+    const bool is_shifted = !facts.client_region.empty() && facts.client_region != this->region;
+    flow.origin = is_other_region || is_shifted ? request_origin::remote : request_origin::local;
+    flow.from = is_other_region ? forwarded.from : instance_id{};
+    if (!this->is_admitting) {
+        this->finish(facts.flow, outcome::not_executed, refusal_reason::resynchronizing, {}, nullptr);
+        return;
+    }
+    if (this->slices.crashes.judge(facts.print) == verdict::quarantined) {
+        this->finish(facts.flow, outcome::not_executed, refusal_reason::quarantined, {}, nullptr);
+        return;
+    }
+    this->offer_here(now, flow);
+}
+
+void request_coordinator::offer_here(time_point now, flow_state& flow)
+{
+    const auto& facts = flow.facts;
+    const bool is_suspect = this->slices.crashes.judge(facts.print) == verdict::suspected;
+    if (is_suspect && !flow.is_on_trial) {
+        if (!this->slices.crashes.begin_trial(facts.print)) {
+            this->on_owner_refused(now, flow, refusal_reason::quarantined, std::chrono::milliseconds(500));
+            return;
+        }
+        flow.is_on_trial = true;
+    }
+    if (flow.origin == request_origin::remote) {
+        this->slices.shift.on_demand(now, facts.service);
+        auto* service = this->slices.admission.find(facts.service);
+        if (service != nullptr) {
+            service->set_remote_cap(this->slices.shift.cap(now, facts.service));
+        }
+    }
+    const auto decision =
+        this->slices.admission.offer(now, {facts.flow, facts.service, flow.priority, flow.origin, flow.from,
+                                           facts.deadline, facts.is_idempotent, facts.affinity, flow.avoid});
+    if (decision.kind == admission_kind::started) {
+        this->start_at_upstream(now, flow, decision.upstream);
+    } else if (decision.kind == admission_kind::queued) {
+        flow.step = phase::queued;
+    } else {
+        this->on_owner_refused(now, flow, decision.reason, decision.retry_after);
+    }
+    this->handle_admission_events(now);
+}
+
+void request_coordinator::handle_admission_events(time_point now)
+{
+    for (const auto& event : this->slices.admission.take_events()) {
+        const auto found = this->flows.find(event.flow);
+        if (found == this->flows.end()) {
+            continue;
+        }
+        if (event.decision.kind == admission_kind::started) {
+            this->start_at_upstream(now, found->second, event.decision.upstream);
+        } else {
+            this->on_owner_refused(now, found->second, event.decision.reason, event.decision.retry_after);
+        }
+    }
+}
+
+void request_coordinator::start_at_upstream(time_point now, flow_state& flow, const upstream_id& upstream)
+{
+    const auto* description = this->slices.directory.find(upstream);
+    flow.upstream = upstream;
+    flow.step = phase::at_upstream;
+    ++flow.attempt;
+    ++flow.upstream_tries;
+    this->at_upstream[upstream].insert(flow.facts.flow);
+    if (description == nullptr || flow.facts.deadline <= now) {
+        //! NOTE Checked at the instant of sending: nothing is sent after the deadline.
+        this->leave_upstream(now, flow,
+                             upstream_result{attempt_status::connect_failed, false, false, -1, nullptr});
+        const auto reason =
+            description == nullptr ? refusal_reason::no_upstream : refusal_reason::deadline_passed;
+        this->on_owner_refused(now, flow, reason, {});
+        return;
+    }
+    this->outbox.push_back(start_upstream_action{flow.facts.flow, flow.attempt, upstream,
+                                                 description->address, flow.facts.deadline,
+                                                 !flow.facts.is_idempotent});
+}
+
+void request_coordinator::leave_upstream(time_point now, flow_state& flow, const upstream_result& result)
+{
+    this->at_upstream[flow.upstream].erase(flow.facts.flow);
+    this->slices.admission.on_finish(now, flow.facts.service, flow.facts.flow, attempt_result_of(result));
+    if (result.reported_in_use >= 0) {
+        this->slices.admission.on_load_report(now, flow.facts.service, flow.upstream, result.reported_in_use);
+    }
+}
+
+void request_coordinator::on_upstream_result(time_point now, flow_id id, std::uint64_t attempt,
+                                             const upstream_result& result)
+{
+    auto* flow = this->find(id, attempt);
+    if (flow == nullptr || flow->step != phase::at_upstream) {
+        return;
+    }
+    this->leave_upstream(now, *flow, result);
+    switch (result.status) {
+    case attempt_status::complete:
+        if (result.is_shed) {
+            this->on_not_executed_here(now, *flow, refusal_reason::upstream_shed);
+            break;
+        }
+        if (this->slices.crashes.on_completed(flow->facts.print)) {
+            this->fresh_notes.push_back({flow->facts.print, flow->upstream, true});
+        }
+        this->finish(id, outcome::done, refusal_reason::none, {}, result.answer);
+        break;
+    case attempt_status::connect_failed:
+        this->on_not_executed_here(now, *flow, refusal_reason::upstream_unreachable);
+        break;
+    case attempt_status::broken:
+        this->on_crash(now, *flow);
+        break;
+    case attempt_status::timed_out:
+    case attempt_status::cancelled:
+        this->finish(id, outcome::unknown, refusal_reason::none, {}, nullptr);
+        break;
+    }
+    this->handle_admission_events(now);
+}
+
+void request_coordinator::on_not_executed_here(time_point now, flow_state& flow, refusal_reason reason)
+{
+    flow.avoid = flow.upstream;
+    if (flow.upstream_tries < this->configuration.requests.max_upstream_tries && flow.facts.deadline > now) {
+        this->offer_here(now, flow);
+        return;
+    }
+    this->on_owner_refused(now, flow, reason, std::chrono::milliseconds(100));
+}
+
+void request_coordinator::on_crash(time_point now, flow_state& flow)
+{
+    //! NOTE Every request that ran there is a suspect; the innocent clear themselves by completing.
+    std::vector<fingerprint> in_flight{flow.facts.print};
+    for (const auto other : this->at_upstream[flow.upstream]) {
+        in_flight.push_back(this->flows.at(other).facts.print);
+    }
+    for (const auto& note : this->slices.crashes.on_crash(now, flow.upstream, in_flight)) {
+        this->fresh_notes.push_back(note);
+    }
+    //! NOTE The answer waits until the notes have reached the peers, so that a resend meets them anywhere.
+    flow.avoid = flow.upstream;
+    flow.step = phase::held;
+    flow.held_until = now + 2 * this->configuration.steering.region_distance;
+    this->held.insert(flow.facts.flow);
+}
+
+void request_coordinator::release_held(time_point now)
+{
+    const auto waiting = this->held;
+    for (const auto id : waiting) {
+        const auto found = this->flows.find(id);
+        if (found == this->flows.end()) {
+            this->held.erase(id);
+        } else if (now >= found->second.held_until) {
+            this->held.erase(id);
+            this->retry_or_unknown(now, found->second);
+        }
+    }
+}
+
+void request_coordinator::retry_or_unknown(time_point now, flow_state& flow)
+{
+    if (flow.is_on_trial) {
+        this->slices.crashes.end_trial(flow.facts.print);
+        flow.is_on_trial = false;
+    }
+    const bool may_retry =
+        flow.facts.is_idempotent && !flow.is_forwarded && !flow.is_abandoned && flow.facts.deadline > now;
+    if (may_retry && this->budget.try_spend()) {
+        this->slices.selector.on_returned(flow.owner, flow.facts.service);
+        flow.owner = instance_id{};
+        this->place(now, flow);
+        return;
+    }
+    this->finish(flow.facts.flow, outcome::unknown, refusal_reason::none, {}, nullptr);
+}
+
+void request_coordinator::on_owner_refused(time_point now, flow_state& flow, refusal_reason reason,
+                                           duration retry_after)
+{
+    const auto id = flow.facts.flow;
+    if (flow.is_forwarded) {
+        this->finish(id, outcome::not_executed, reason, retry_after, nullptr);
+        return;
+    }
+    if (flow.is_on_trial) {
+        this->slices.crashes.end_trial(flow.facts.print);
+        flow.is_on_trial = false;
+    }
+    this->slices.selector.on_returned(flow.owner, flow.facts.service);
+    this->slices.selector.on_refused(flow.owner, flow.facts.service);
+    flow.tried.insert(flow.owner);
+    flow.owner = instance_id{};
+    flow.last_reason = reason;
+    flow.last_retry_after = retry_after;
+    const bool may_try_on =
+        static_cast<int>(flow.tried.size()) < this->configuration.requests.max_owner_tries &&
+        reason != refusal_reason::deadline_passed && reason != refusal_reason::quarantined;
+    if (may_try_on) {
+        this->place(now, flow);
+        return;
+    }
+    this->finish(id, outcome::not_executed, reason, retry_after, nullptr);
+}
+
+void request_coordinator::on_peer_result(time_point now, flow_id id, std::uint64_t attempt,
+                                         const peer_result& result)
+{
+    auto* flow = this->find(id, attempt);
+    if (flow == nullptr || flow->step != phase::at_peer) {
+        return;
+    }
+    if (flow->peer_kind == peer_request_kind::resend) {
+        this->on_resend_result(*flow, result);
+        return;
+    }
+    this->on_admit_result(now, *flow, result);
+    this->handle_admission_events(now);
+}
+
+void request_coordinator::on_admit_result(time_point now, flow_state& flow, const peer_result& result)
+{
+    const auto id = flow.facts.flow;
+    switch (result.status) {
+    case attempt_status::complete:
+        break;
+    case attempt_status::connect_failed:
+        this->on_owner_refused(now, flow, refusal_reason::upstream_unreachable, {});
+        return;
+    case attempt_status::broken:
+    case attempt_status::timed_out:
+        flow.tried.insert(flow.owner);
+        this->retry_or_unknown(now, flow);
+        return;
+    case attempt_status::cancelled:
+        this->finish(id, outcome::unknown, refusal_reason::none, {}, nullptr);
+        return;
+    }
+    if (result.result == outcome::done) {
+        this->finish(id, outcome::done, refusal_reason::none, {}, result.answer);
+    } else if (result.result == outcome::not_executed) {
+        this->on_owner_refused(now, flow, result.reason, result.retry_after);
+    } else {
+        this->retry_or_unknown(now, flow);
+    }
+}
+
+void request_coordinator::on_resend_result(flow_state& flow, const peer_result& result)
+{
+    //! NOTE The original may have run at the named incarnation, so a lost answer is `unknown`.
+    const bool is_complete = result.status == attempt_status::complete;
+    const auto id = flow.facts.flow;
+    this->finish(id, is_complete ? result.result : outcome::unknown,
+                 is_complete ? result.reason : refusal_reason::none, result.retry_after, result.answer);
+}
+
+void request_coordinator::on_cancelled(time_point now, flow_id id)
+{
+    const auto found = this->flows.find(id);
+    if (found == this->flows.end()) {
+        return;
+    }
+    auto& flow = found->second;
+    flow.is_abandoned = true;
+    //! NOTE A started non-idempotent request goes on, so that its resend finds the outcome.
+    if (!flow.facts.is_idempotent && !flow.is_forwarded) {
+        return;
+    }
+    if (flow.step == phase::queued && this->slices.admission.withdraw(flow.facts.service, id)) {
+        this->finish(id, outcome::not_executed, refusal_reason::none, {}, nullptr);
+        return;
+    }
+    if (flow.facts.is_idempotent && (flow.step == phase::at_upstream || flow.step == phase::at_peer)) {
+        this->outbox.push_back(cancel_action{id, flow.attempt});
+    }
+    this->handle_admission_events(now);
+}
+
+void request_coordinator::on_tick(time_point now)
+{
+    this->release_held(now);
+    this->handle_admission_events(now);
+}
+
+void request_coordinator::finish(flow_id id, outcome result, refusal_reason reason, duration retry_after,
+                                 const requests::answer_ptr& answer)
+{
+    const auto node = this->flows.extract(id);
+    const auto& flow = node.mapped();
+    if (flow.is_on_trial) {
+        this->slices.crashes.end_trial(flow.facts.print);
+    }
+    if (!flow.owner.empty() && !flow.is_forwarded) {
+        this->slices.selector.on_returned(flow.owner, flow.facts.service);
+    }
+    if (flow.is_counted) {
+        this->slices.usage.on_finish(flow.facts.customer, flow.facts.service);
+    }
+    if (flow.has_ticket) {
+        this->slices.tickets.end(flow.facts.name->number, result, answer);
+    }
+    this->emit_answer(flow, result, reason, retry_after, answer);
+    for (const auto joined : flow.joined) {
+        if (this->flows.contains(joined)) {
+            this->finish(joined, result, reason, retry_after, answer);
+        }
+    }
+}
+
+void request_coordinator::emit_answer(const flow_state& flow, outcome result, refusal_reason reason,
+                                      duration retry_after, const requests::answer_ptr& answer)
+{
+    if (flow.is_abandoned) {
+        return;
+    }
+    requests::ticket_block tickets;
+    if (!flow.facts.is_idempotent && !flow.is_forwarded && !this->slices.tickets.sealed()) {
+        tickets = this->slices.tickets.issue(this->configuration.refusal_tickets);
+    }
+    this->outbox.push_back(answer_action{flow.facts.flow, result, reason, retry_after, answer, tickets});
+}
+} // namespace buckthornhill::node
--- /dev/null
+++ b/src/node/ticket_stock.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <map>
+
+#include "requests/requests_types.h"
+
+namespace buckthornhill::node {
+//! Tickets that peers lent to this instance, so that its look-up answers can carry those of the entry
+//! instance that they name first.
+class ticket_stock
+{
+public:
+    void add(const instance_id& lender, const requests::ticket_block& block) { this->blocks[lender] = block; }
+
+    //! Up to `count` tickets of `lender`; an empty block when none of `incarnation` are left.
+    requests::ticket_block take(const instance_id& lender, incarnation_id incarnation, std::uint64_t count)
+    {
+        const auto found = this->blocks.find(lender);
+        if (found == this->blocks.end() || found->second.incarnation != incarnation ||
+            found->second.count < count) {
+            return {};
+        }
+        auto& block = found->second;
+        const requests::ticket_block taken{block.incarnation, block.first, count};
+        block.first += ticket_number(count);
+        block.count -= count;
+        return taken;
+    }
+
+    bool is_low(const instance_id& lender, std::uint64_t least) const
+    {
+        const auto found = this->blocks.find(lender);
+        return found == this->blocks.end() || found->second.count < least;
+    }
+
+private:
+    std::map<instance_id, requests::ticket_block> blocks;
+};
+} // namespace buckthornhill::node
--- /dev/null
+++ b/src/peers/heartbeat_codec.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "peers/peers_types.h"
+
+namespace buckthornhill::peers {
+std::string encode_heartbeat(const heartbeat& message);
+//! Throws `peers_error` that names the place of a fault.
+heartbeat decode_heartbeat(std::string_view body);
+
+std::string encode_handover(const requests::ticket_handover& handover);
+requests::ticket_handover decode_handover(std::string_view body);
+} // namespace buckthornhill::peers
--- /dev/null
+++ b/src/peers/peers_types.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "admission/admission_types.h"
+#include "lists/lists_types.h"
+#include "membership/membership_types.h"
+#include "quarantine/quarantine_types.h"
+#include "quota/quota_types.h"
+#include "requests/ticket_book.h"
+
+//! Messages between entry instances: JSON over HTTP on the peer listener.
+namespace buckthornhill::peers {
+//! What one instance tells another in a heartbeat and in the answer to one.
+//! The sender is the first record of `members`.
+struct heartbeat
+{
+    membership::gossip members;
+    lists::version_map versions;
+    std::vector<admission::service_report> reports; //!< of upstreams that the sender owns
+    std::map<service_id, std::int64_t> credits;     //!< granted to the receiver
+    std::map<service_id, std::int64_t> wants;       //!< credits that the sender could use
+    std::map<service_id, std::int64_t> ejected;     //!< upstreams that the sender ejected
+    std::vector<quota::usage_record> usage;         //!< only within a region
+    std::vector<quarantine::crash_note> crash_notes;
+    std::vector<incarnation_id> handovers; //!< stopped incarnations whose outcomes it keeps
+    requests::ticket_block tickets;        //!< of the sender, for look-ups at the receiver
+    bool wants_tickets = false;
+};
+} // namespace buckthornhill::peers
--- /dev/null
+++ b/src/quarantine/quarantine_types.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+
+#include "global/ids.h"
+#include "global/units.h"
+
+//! Requests that crash upstreams: suspected after one crash, refused after the second.
+namespace buckthornhill::quarantine {
+enum class verdict {
+    clear,
+    suspected,  //!< one upstream crashed with it in flight
+    quarantined //!< refused as not executed
+};
+
+//! One upstream that crashed while a request ran there.
+struct crash_note
+{
+    fingerprint print;
+    upstream_id upstream;
+    bool is_cleared = false; //!< the request has completed since, so it was innocent
+};
+
+struct quarantine_configuration
+{
+    std::size_t crashes_to_quarantine = 2;
+    std::size_t max_suspects = 4096;
+    std::chrono::minutes suspect_lifetime{60};
+};
+} // namespace buckthornhill::quarantine
--- /dev/null
+++ b/src/requests/handover_store.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "requests/ticket_book.h"
+
+namespace buckthornhill::requests {
+//! Outcomes that stopped incarnations handed over. Their books were sealed first, so a ticket that is
+//! missing from a handover, and within its window, was never started and never will be.
+class handover_store
+{
+public:
+    explicit handover_store(std::size_t max_incarnations)
+        : capacity(max_incarnations)
+    {
+    }
+
+    void accept(const ticket_handover& handover);
+    bool holds(incarnation_id incarnation) const { return this->books.contains(incarnation); }
+    outcome outcome_of(const ticket& name) const;
+    std::vector<incarnation_id> incarnations() const;
+
+private:
+    struct closed_book
+    {
+        ticket_number low_water;
+        ticket_number next_ticket;
+        std::unordered_map<ticket_number, outcome> ended;
+        std::unordered_set<ticket_number> uncertain;
+    };
+
+    std::size_t capacity;
+    std::map<incarnation_id, closed_book> books;
+    std::deque<incarnation_id> order;
+};
+} // namespace buckthornhill::requests
--- /dev/null
+++ b/src/requests/ticket_book.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "requests/requests_types.h"
+
+namespace buckthornhill::requests {
+enum class ticket_verdict {
+    fresh,     //!< issued and never started
+    running,   //!< a resend joins it
+    ended,     //!< the outcome is known here
+    forgotten, //!< below the window, or the outcome was dropped: it may have run
+    never_issued
+};
+
+//! What ended requests of one incarnation came to; handed to a peer at a planned stop.
+struct ticket_handover
+{
+    incarnation_id incarnation;
+    ticket_number low_water;   //!< nothing is known of tickets below
+    ticket_number next_ticket; //!< tickets from here on were never issued
+    std::vector<std::pair<ticket_number, outcome>> ended;
+    std::vector<ticket_number> uncertain; //!< started, with an outcome that was dropped
+};
+
+//! Anti-replay window over the tickets of one incarnation: a bit for each ticket above a low-water mark.
+//! A started bit is never cleared, so no ticket starts twice, whatever else is forgotten.
+class ticket_book
+{
+public:
+    struct ended_ticket
+    {
+        outcome result = outcome::unknown;
+        answer_ptr answer; //!< null once dropped to keep the memory bound
+    };
+
+    ticket_book(incarnation_id incarnation, const requests_configuration& configuration);
+
+    ticket_block issue(std::uint64_t count);
+    ticket_verdict check(ticket_number number) const;
+    //! Marks the ticket as started. Precondition: `check` said `fresh` and the book is not sealed.
+    void start(ticket_number number, flow_id flow);
+    void end(ticket_number number, outcome result, answer_ptr answer);
+    flow_id running_flow(ticket_number number) const;
+    const ended_ticket* find_ended(ticket_number number) const;
+
+    //! After this no ticket of this incarnation starts any more.
+    void seal() { this->is_sealed = true; }
+    bool sealed() const { return this->is_sealed; }
+    std::size_t running_count() const { return this->running.size(); }
+    ticket_handover make_handover() const;
+    ticket_number low_water() const { return ticket_number(this->low); }
+
+private:
+    bool is_started(std::uint64_t number) const;
+    void slide_to(std::uint64_t new_low);
+    void drop_excess();
+
+    incarnation_id incarnation;
+    requests_configuration configuration;
+    std::vector<bool> started; //!< ring of `ticket_window` bits
+    std::uint64_t low = 1;
+    std::uint64_t next = 1;
+    std::unordered_map<ticket_number, flow_id> running;
+    std::unordered_map<ticket_number, ended_ticket> ended;
+    std::deque<ticket_number> ended_order;
+    std::deque<ticket_number> answer_order;
+    std::size_t answer_bytes = 0;
+    bool is_sealed = false;
+};
+} // namespace buckthornhill::requests
--- /dev/null
+++ b/src/shift/settled_share.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <deque>
+#include <utility>
+
+#include "global/units.h"
+
+namespace buckthornhill::shift {
+//! A share of a cap that rises only once it has stood for the settle time, and falls at once.
+//! While views of membership differ, two owners may both count a slot as theirs; the sum still keeps the cap.
+class settled_share
+{
+public:
+    void set(time_point now, double share)
+    {
+        if (this->recent.empty() || this->recent.back().second != share) {
+            this->recent.emplace_back(now, share);
+        }
+    }
+
+    double value(time_point now, duration settle_time)
+    {
+        //! NOTE A value counts until its successor has stood for the settle time.
+        while (this->recent.size() > 1 && now - this->recent[1].first >= settle_time) {
+            this->recent.pop_front();
+        }
+        double lowest = this->recent.empty() ? 0.0 : this->recent.front().second;
+        for (const auto& [since, share] : this->recent) {
+            lowest = share < lowest ? share : lowest;
+        }
+        return lowest;
+    }
+
+private:
+    std::deque<std::pair<time_point, double>> recent;
+};
+} // namespace buckthornhill::shift
--- /dev/null
+++ b/src/steering/owner_selector.cpp
@@ -0,0 +1,223 @@
+#include "steering/owner_selector.h"
+
+#include <algorithm>
+
+namespace buckthornhill::steering {
+namespace {
+constexpr double shift_end_fraction = 0.5; //!< of the wait that started a shift
+constexpr std::int64_t min_wanted_credits = 1;
+} // namespace
+
+owner_selector::owner_selector(instance_id own_id, place where, const steering_configuration& settings)
+    : self(std::move(own_id))
+    , own_place(std::move(where))
+    , configuration(settings)
+{
+}
+
+void owner_selector::on_report(time_point now, const instance_id& owner, const place& where,
+                               const admission::service_report& report, std::int64_t credits)
+{
+    auto& state = this->services[report.service].owners[owner];
+    state.where = where;
+    state.report = report;
+    state.reported_at = now;
+    state.credits = credits;
+    state.outstanding_at_report = state.outstanding;
+    state.is_full = false;
+}
+
+void owner_selector::forget(const instance_id& owner)
+{
+    for (auto& [service, state] : this->services) {
+        state.owners.erase(owner);
+    }
+}
+
+void owner_selector::on_sent(const instance_id& owner, const service_id& service)
+{
+    ++this->services[service].owners[owner].outstanding;
+}
+
+void owner_selector::on_returned(const instance_id& owner, const service_id& service)
+{
+    auto& owners = this->services[service].owners;
+    const auto found = owners.find(owner);
+    if (found != owners.end() && found->second.outstanding > 0) {
+        --found->second.outstanding;
+    }
+}
+
+void owner_selector::on_refused(const instance_id& owner, const service_id& service)
+{
+    auto& owners = this->services[service].owners;
+    const auto found = owners.find(owner);
+    if (found != owners.end()) {
+        found->second.is_full = true;
+    }
+}
+
+bool owner_selector::is_fresh(time_point now, const owner_state& owner) const
+{
+    return now - owner.reported_at <= this->configuration.report_lifetime;
+}
+
+duration owner_selector::distance_to(const instance_id& id, const owner_state& owner) const
+{
+    if (id == this->self || owner.where.domain == this->own_place.domain) {
+        return {};
+    }
+    const auto one_way =
+        this->is_local(owner) ? this->configuration.domain_distance : this->configuration.region_distance;
+    return 2 * one_way;
+}
+
+std::int64_t owner_selector::in_use(const owner_state& owner) const
+{
+    //! NOTE What this instance sent since the report is not in the report yet.
+    return owner.report.in_flight + owner.outstanding - owner.outstanding_at_report;
+}
+
+bool owner_selector::has_room(const owner_state& owner) const
+{
+    return !owner.is_full && owner.report.queued == 0 && this->in_use(owner) < owner.report.limit;
+}
+
+duration owner_selector::wait_at(const owner_state& owner) const
+{
+    const auto limit = std::max<std::int64_t>(1, owner.report.limit);
+    auto excess = this->in_use(owner) + owner.report.queued + 1 - limit;
+    if (owner.is_full) {
+        excess = std::max<std::int64_t>(excess, owner.report.queued + 1);
+    }
+    return std::chrono::microseconds(std::max<std::int64_t>(0, excess) * owner.report.mean_service_us /
+                                     limit);
+}
+
+duration owner_selector::local_wait(time_point now, const service_state& service) const
+{
+    auto shortest = duration::max();
+    for (const auto& [id, owner] : service.owners) {
+        if (this->is_local(owner) && this->is_fresh(now, owner) && owner.report.limit > 0) {
+            shortest = std::min(shortest, this->wait_at(owner));
+        }
+    }
+    return shortest;
+}
+
+double owner_selector::local_utilization(const service_state& service) const
+{
+    std::int64_t used = 0;
+    std::int64_t limit = 0;
+    for (const auto& [id, owner] : service.owners) {
+        if (this->is_local(owner)) {
+            used += this->in_use(owner) + owner.report.queued;
+            limit += owner.report.limit;
+        }
+    }
+    return limit > 0 ? static_cast<double>(used) / static_cast<double>(limit) : 1.0;
+}
+
+void owner_selector::update_shift(time_point now, service_state& service) const
+{
+    const duration remote_distance = 2 * this->configuration.region_distance;
+    const auto wait = this->local_wait(now, service);
+    const bool weighs_headroom = this->configuration.weigh == weighing::headroom;
+    const bool is_busy =
+        weighs_headroom && this->local_utilization(service) >= this->configuration.busy_fraction;
+    const bool needs_shift = is_busy || wait > remote_distance;
+    const bool is_calm = !is_busy && wait != duration::max() &&
+                         std::chrono::duration<double>(wait) <=
+                             shift_end_fraction * std::chrono::duration<double>(remote_distance);
+    if (!service.is_shifting && needs_shift) {
+        service.is_shifting = true;
+        service.shift_changed_at = now;
+        return;
+    }
+    //! NOTE Hysteresis: a shift ends at a lower wait than it starts at, and not at once.
+    const bool is_held = now - service.shift_changed_at < this->configuration.shift_hold;
+    if (service.is_shifting && is_calm && !is_held) {
+        service.is_shifting = false;
+        service.shift_changed_at = now;
+    }
+}
+
+const instance_id* owner_selector::best_local(time_point now, const service_state& service,
+                                              const instance_id& preferred,
+                                              const std::set<instance_id>& tried) const
+{
+    const instance_id* best = nullptr;
+    auto best_cost = duration::max();
+    for (const auto& [id, owner] : service.owners) {
+        const bool is_usable = this->is_local(owner) && owner.report.limit > 0 && this->is_fresh(now, owner);
+        if (!is_usable || tried.contains(id)) {
+            continue;
+        }
+        if (id == preferred && this->has_room(owner)) {
+            return &id;
+        }
+        const auto cost = this->wait_at(owner) + this->distance_to(id, owner);
+        if (best == nullptr || cost < best_cost) {
+            best = &id;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+const instance_id* owner_selector::best_remote(time_point now, const service_state& service,
+                                               const std::set<instance_id>& tried) const
+{
+    const instance_id* best = nullptr;
+    std::int64_t best_left = 0;
+    for (const auto& [id, owner] : service.owners) {
+        if (this->is_local(owner) || tried.contains(id) || !this->is_fresh(now, owner) || owner.is_full) {
+            continue;
+        }
+        const auto left = owner.credits - owner.outstanding;
+        if (left > best_left) {
+            best = &id;
+            best_left = left;
+        }
+    }
+    return best;
+}
+
+steering_choice owner_selector::choose(time_point now, const service_id& service,
+                                       const instance_id& preferred, const std::set<instance_id>& tried)
+{
+    auto& state = this->services[service];
+    this->update_shift(now, state);
+    const auto* local = this->best_local(now, state, preferred, tried);
+    if (local != nullptr && (!state.is_shifting || this->has_room(state.owners.at(*local)))) {
+        const bool keeps_headroom = state.is_shifting && this->configuration.weigh == weighing::headroom;
+        if (!keeps_headroom) {
+            return {*local, false};
+        }
+    }
+    if (const auto* remote = this->best_remote(now, state, tried)) {
+        return {*remote, true};
+    }
+    return local == nullptr ? steering_choice{} : steering_choice{*local, false};
+}
+
+std::int64_t owner_selector::wanted_credits(time_point now, const service_id& service)
+{
+    auto& state = this->services[service];
+    this->update_shift(now, state);
+    if (!state.is_shifting) {
+        return 0;
+    }
+    std::int64_t own_outstanding = 0;
+    for (const auto& [id, owner] : state.owners) {
+        own_outstanding += owner.outstanding;
+    }
+    return std::max(min_wanted_credits, own_outstanding);
+}
+
+bool owner_selector::is_shifting(const service_id& service) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() && found->second.is_shifting;
+}
+} // namespace buckthornhill::steering
--- /dev/null
+++ b/src/steering/owner_selector.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "steering/steering_types.h"
+
+namespace buckthornhill::steering {
+//! Chooses the owner that a request goes to. Keeps the last report of each owner and what was sent since.
+class owner_selector
+{
+public:
+    owner_selector(instance_id self, place own_place, const steering_configuration& configuration);
+
+    void on_report(time_point now, const instance_id& owner, const place& where,
+                   const admission::service_report& report, std::int64_t credits);
+    void forget(const instance_id& owner);
+    void on_sent(const instance_id& owner, const service_id& service);
+    void on_returned(const instance_id& owner, const service_id& service);
+    //! The owner refused although its report showed room: it counts as full until its next report.
+    void on_refused(const instance_id& owner, const service_id& service);
+
+    //! `preferred` owns the upstream that has served this target before; `tried` refused already.
+    steering_choice choose(time_point now, const service_id& service, const instance_id& preferred,
+                           const std::set<instance_id>& tried);
+    //! Remote slots that this instance could use now, for the next heartbeat.
+    std::int64_t wanted_credits(time_point now, const service_id& service);
+    bool is_shifting(const service_id& service) const;
+
+private:
+    struct owner_state
+    {
+        place where;
+        admission::service_report report;
+        time_point reported_at;
+        std::int64_t credits = 0;
+        std::int64_t outstanding = 0; //!< sent by this instance and not returned
+        std::int64_t outstanding_at_report = 0;
+        bool is_full = false;
+    };
+    struct service_state
+    {
+        std::map<instance_id, owner_state> owners;
+        bool is_shifting = false;
+        time_point shift_changed_at{};
+    };
+
+    bool is_local(const owner_state& owner) const { return owner.where.region == this->own_place.region; }
+    bool is_fresh(time_point now, const owner_state& owner) const;
+    duration distance_to(const instance_id& id, const owner_state& owner) const;
+    std::int64_t in_use(const owner_state& owner) const;
+    bool has_room(const owner_state& owner) const;
+    duration wait_at(const owner_state& owner) const;
+    duration local_wait(time_point now, const service_state& service) const;
+    double local_utilization(const service_state& service) const;
+    void update_shift(time_point now, service_state& service) const;
+    const instance_id* best_local(time_point now, const service_state& service, const instance_id& preferred,
+                                  const std::set<instance_id>& tried) const;
+    const instance_id* best_remote(time_point now, const service_state& service,
+                                   const std::set<instance_id>& tried) const;
+
+    instance_id self;
+    place own_place;
+    steering_configuration configuration;
+    std::map<service_id, service_state> services;
+};
+} // namespace buckthornhill::steering
--- /dev/null
+++ b/tests/standins/store_standin.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/http_exchange.h"
+
+namespace boost::asio {
+class io_context;
+}
+namespace buckthornhill::http {
+class http_server;
+}
+
+namespace buckthornhill::standins {
+//! Faults of the store that can be switched on.
+struct store_faults
+{
+    bool is_down = false;       //!< calls get no answer; the connection closes
+    int slow_ms = 0;            //!< each answer waits so long
+    int lost_write_answers = 0; //!< so many writes take effect without an answer
+    bool is_list_stale = false; //!< the list of instances stays as it is, whatever is registered
+};
+
+//! Stand-in for the platform's object API: versions, conditional updates, watches and the list of instances.
+//! Control: `POST /control/faults`, `PUT /control/instances`, `GET /control/counts`.
+class store_standin
+{
+public:
+    store_standin(boost::asio::io_context& context, unsigned short port);
+    ~store_standin();
+    store_standin(const store_standin&) = delete;
+    store_standin& operator=(const store_standin&) = delete;
+
+    http::endpoint local_endpoint() const;
+
+private:
+    struct stored_object
+    {
+        std::uint64_t version = 0;
+        std::string body;
+        std::vector<http::exchange_ptr> waiting;
+    };
+
+    void on_request(const http::exchange_ptr& exchange);
+    void on_control(const http::exchange_ptr& exchange, std::string_view path);
+    void on_read(const http::exchange_ptr& exchange, const std::string& name);
+    void on_write(const http::exchange_ptr& exchange, const std::string& name);
+    void on_list(const http::exchange_ptr& exchange);
+    void store(const std::string& name, std::string body);
+    void answer(const http::exchange_ptr& exchange, http::http_response response);
+    void answer_object(const http::exchange_ptr& exchange, const stored_object& object);
+    void wait(const http::exchange_ptr& exchange, const std::string& name, int wait_ms);
+
+    boost::asio::io_context& context;
+    std::map<std::string, stored_object> objects;
+    store_faults faults;
+    std::string hidden_instances; //!< registered while the list is stale
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::unique_ptr<http::http_server> server;
+};
+} // namespace buckthornhill::standins
--- /dev/null
+++ b/tests/support/child_process.cpp
@@ -0,0 +1,121 @@
+#include "child_process.h"
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace buckthornhill::testing {
+namespace {
+std::string read_line(int descriptor)
+{
+    std::string line;
+    char letter = 0;
+    while (read(descriptor, &letter, 1) == 1 && letter != '\n') {
+        line.push_back(letter);
+    }
+    return line;
+}
+
+std::vector<std::string> environment_with(const std::map<std::string, std::string>& added)
+{
+    std::vector<std::string> all;
+    for (char** item = environ; *item != nullptr; ++item) {
+        all.emplace_back(*item);
+    }
+    for (const auto& [name, value] : added) {
+        all.push_back(name);
+        all.back().append("=").append(value);
+    }
+    return all;
+}
+
+std::vector<char*> pointers_to(std::vector<std::string>& texts)
+{
+    std::vector<char*> pointers;
+    pointers.reserve(texts.size() + 1);
+    for (auto& text : texts) {
+        pointers.push_back(text.data());
+    }
+    pointers.push_back(nullptr);
+    return pointers;
+}
+} // namespace
+
+child_process::child_process(const std::vector<std::string>& command,
+                             const std::map<std::string, std::string>& environment,
+                             const std::string& log_file)
+{
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+        throw std::runtime_error("pipe failed");
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(), O_CREAT | O_WRONLY | O_APPEND,
+                                     0644);
+    auto arguments = command;
+    auto variables = environment_with(environment);
+    const int status = posix_spawn(&this->process, command.front().c_str(), &actions, nullptr,
+                                   pointers_to(arguments).data(), pointers_to(variables).data());
+    posix_spawn_file_actions_destroy(&actions);
+    close(ends[1]);
+    if (status != 0) {
+        close(ends[0]);
+        throw std::runtime_error("cannot start " + command.front());
+    }
+    this->line = read_line(ends[0]);
+    close(ends[0]);
+}
+
+child_process::child_process(child_process&& other) noexcept
+    : process(std::exchange(other.process, -1))
+    , line(std::move(other.line))
+{
+}
+
+child_process::~child_process()
+{
+    if (this->process > 0) {
+        kill(this->process, SIGKILL);
+        this->wait();
+    }
+}
+
+void child_process::signal(int number) const
+{
+    if (this->process > 0) {
+        kill(this->process, number);
+    }
+}
+
+int child_process::wait()
+{
+    int status = 0;
+    waitpid(this->process, &status, 0);
+    this->process = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+long child_process::resident_kib() const
+{
+    std::ifstream file("/proc/" + std::to_string(this->process) + "/status");
+    std::string word;
+    while (file >> word) {
+        if (word == "VmRSS:") {
+            long kib = 0;
+            file >> kib;
+            return kib;
+        }
+    }
+    return 0;
+}
+} // namespace buckthornhill::testing
--- /dev/null
+++ b/tests/support/child_process.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace buckthornhill::testing {
+//! A process that a test started. Ended with SIGKILL when the object goes.
+class child_process
+{
+public:
+    //! Starts `command` with `environment` added to the own one and reads the first line that it prints.
+    child_process(const std::vector<std::string>& command,
+                  const std::map<std::string, std::string>& environment, const std::string& log_file);
+    ~child_process();
+    child_process(child_process&& other) noexcept;
+    child_process& operator=(child_process&&) = delete;
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    const std::string& first_line() const { return this->line; }
+    pid_t pid() const { return this->process; }
+    void signal(int number) const;
+    //! Waits for the end; returns the exit code, or 128 and the signal's number.
+    int wait();
+    //! Resident memory in KiB.
+    long resident_kib() const;
+
+private:
+    pid_t process = -1;
+    std::string line;
+};
+} // namespace buckthornhill::testing
--- /dev/null
+++ b/tests/support/demo_main.cpp
@@ -0,0 +1,60 @@
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "deployment.h"
+#include "global/error.h"
+
+namespace {
+constexpr double default_rate = 60;
+constexpr std::chrono::seconds load_length{5};
+
+std::string text_of(const std::string& path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+int run_demo(const std::string& folder, double rate)
+{
+    using namespace buckthornhill;
+    testing::deployment system({folder + "/deployment.json", {}, 2000, 2000, false});
+    system.register_instances();
+    system.put_document("plans", text_of(folder + "/plans.json"));
+    system.put_document("quotas", text_of(folder + "/quotas.json"));
+    std::cout << "Started the store, the upstreams and " << system.daemons().size() << " entry instances.\n";
+    if (!system.wait_until_ready()) {
+        std::cerr << "The instances did not become ready.\n";
+        return 1;
+    }
+    const auto plan = system.make_plan(rate, load_length);
+    std::cout << "Sending " << plan.streams.size() << " streams of " << rate << " requests a second for "
+              << load_length.count() << " s.\n\n";
+    const auto report = system.run_load(plan, {});
+    std::cout << report.table();
+    std::size_t doubled = 0;
+    for (const auto& [order, runs] : system.execution_log()) {
+        doubled += runs > 1 ? 1 : 0;
+    }
+    std::cout << "\nRequests that ran more than once: " << doubled << "\n";
+    return report.total().wrong_answers == 0 && report.total().done > 0 ? 0 : 1;
+}
+} // namespace
+
+//! Usage: bth-demo EXAMPLE_FOLDER [requests a second of each stream].
+int main(int argc, char** argv)
+{
+    if (argc < 2) {
+        std::cerr << "usage: bth-demo EXAMPLE_FOLDER [requests a second of each stream]\n";
+        return 2;
+    }
+    try {
+        return run_demo(argv[1], argc > 2 ? std::atof(argv[2]) : default_rate);
+    } catch (const std::exception& failure) {
+        std::cerr << "bth-demo: " << failure.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/tests/support/deployment.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+#include "http/http_types.h"
+#include "load_generator.h"
+
+namespace buckthornhill::testing {
+//! One daemon of a deployment under test.
+struct daemon_instance
+{
+    std::string id;
+    std::string region;
+    std::string domain;
+    std::string ready_line;
+    std::string caller_address;
+    std::string peer_address;
+    std::string operations_address;
+    std::unique_ptr<child_process> process;
+};
+
+struct deployment_options
+{
+    std::string file;                      //!< the deployment's JSON file
+    std::vector<std::string> daemon_flags; //!< added to every daemon's command
+    int service_us = 2000;
+    int cold_us = 0;
+    bool starts_with_store_down = false;
+};
+
+//! The system of a deployment file as separate processes: store, upstreams and daemons on loopback.
+class deployment
+{
+public:
+    explicit deployment(const deployment_options& options);
+    ~deployment();
+    deployment(const deployment&) = delete;
+    deployment& operator=(const deployment&) = delete;
+
+    std::vector<daemon_instance>& daemons() { return this->instances; }
+    daemon_instance& start_daemon(const std::string& id, const std::string& region, const std::string& domain,
+                                  const std::vector<std::string>& flags);
+    //! Tells the store which instances there are.
+    void register_instances();
+    //! Writes a document as an operator would; returns the HTTP status.
+    unsigned put_document(const std::string& name, const std::string& body);
+    void set_store_faults(const std::string& faults);
+    http::http_response call(const std::string& address, const std::string& method, const std::string& target,
+                             const std::string& body = "", const http::header_list& headers = {});
+    http::http_response call_upstreams(const std::string& method, const std::string& target);
+    std::string status_of(const daemon_instance& instance);
+    //! Waits until `condition` holds; false when `limit` passes first.
+    bool wait_until(const std::function<bool()>& condition, std::chrono::milliseconds limit);
+    //! Waits until all running daemons see one another as live and have the store's documents.
+    bool wait_until_ready();
+    std::map<std::string, int> execution_log();
+    std::vector<std::string> caller_addresses() const;
+    const std::string& store_address() const { return this->store_at; }
+
+    //! A load over every service from every region; `per_second` is the rate of each stream.
+    load::load_plan make_plan(double per_second, std::chrono::milliseconds length) const;
+    //! Runs a load to its end; `events` run at their times from its start.
+    load::load_report
+    run_load(const load::load_plan& plan,
+             const std::vector<std::pair<std::chrono::milliseconds, std::function<void()>>>& events,
+             const load::caller_session::result_hook& hook = {});
+
+private:
+    std::string deployment_text;
+    deployment_options options;
+    std::string store_at;
+    std::string upstreams_control;
+    std::string upstreams_json;
+    std::string directory;
+    std::unique_ptr<child_process> store;
+    std::unique_ptr<child_process> upstreams;
+    std::vector<daemon_instance> instances;
+};
+} // namespace buckthornhill::testing
--- /dev/null
+++ b/tools/load/caller_session.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "http/http_client.h"
+#include "load_types.h"
+
+namespace buckthornhill::load {
+//! One caller: looks entry instances up, binds to the first, sends, and resends under the same ticket.
+class caller_session
+{
+public:
+    using result_hook = std::function<void(const operation&, const operation_result&)>;
+
+    caller_session(http::http_client& client, caller_configuration configuration);
+
+    void run(const operation& what, result_hook on_result);
+    //! How often an answer named another instance than the one used before.
+    std::size_t lookup_count() const { return this->lookups; }
+
+private:
+    struct binding
+    {
+        std::vector<std::string> addresses;
+        std::deque<requests::ticket> tickets;
+        time_point valid_until{};
+    };
+    struct running
+    {
+        operation what;
+        result_hook on_result;
+        operation_result result;
+        std::size_t next_address = 0;
+        std::vector<std::string> addresses;
+        std::string ticket;
+        bool may_have_run = false; //!< sent under its ticket without a definite answer
+    };
+    using running_ptr = std::shared_ptr<running>;
+
+    void look_up(const running_ptr& state);
+    void on_lookup(const running_ptr& state, const http::call_result& call);
+    void send(const running_ptr& state);
+    void on_answer(const running_ptr& state, const http::call_result& call);
+    void take_tickets(const running_ptr& state, const http::http_response& response);
+    void try_next(const running_ptr& state);
+    void finish(const running_ptr& state, requests::outcome result);
+    bool is_own_answer(const running& state, const http::http_response& response) const;
+
+    http::http_client& client;
+    caller_configuration configuration;
+    std::unordered_map<service_id, binding> bindings;
+    std::size_t next_bootstrap = 0;
+    std::size_t lookups = 0;
+};
+} // namespace buckthornhill::load
--- /dev/null
+++ b/tools/load/load_generator.cpp
@@ -0,0 +1,106 @@
+#include "load_generator.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace buckthornhill::load {
+namespace {
+constexpr std::size_t max_idle_connections = 512;
+}
+
+struct load_generator::stream_state
+{
+    stream_state(boost::asio::io_context& context, load_stream settings, caller_session caller)
+        : what(std::move(settings))
+        , session(std::move(caller))
+        , timer(context)
+    {
+    }
+
+    load_stream what;
+    caller_session session;
+    boost::asio::steady_timer timer;
+    time_point next;
+};
+
+load_generator::load_generator(boost::asio::io_context& io, load_plan settings, result_hook results_hook)
+    : context(io)
+    , plan(std::move(settings))
+    , hook(std::move(results_hook))
+    , client(io, http::client_limits{max_idle_connections, 16U << 20, std::chrono::seconds(20)})
+    , random(this->plan.seed)
+{
+}
+
+load_generator::~load_generator() = default;
+
+void load_generator::start(std::function<void()> finished)
+{
+    this->on_finished = std::move(finished);
+    const auto begin = std::chrono::steady_clock::now();
+    this->end = begin + this->plan.length;
+    for (const auto& stream : this->plan.streams) {
+        caller_configuration caller;
+        caller.bootstrap = this->plan.bootstrap;
+        std::shuffle(caller.bootstrap.begin(), caller.bootstrap.end(), this->random);
+        caller.region = stream.region;
+        caller.attempt_timeout = stream.deadline + std::chrono::milliseconds(500);
+        auto state =
+            std::make_shared<stream_state>(this->context, stream, caller_session(this->client, caller));
+        state->next = begin;
+        ++this->active_streams;
+        this->schedule(state);
+    }
+}
+
+void load_generator::schedule(const std::shared_ptr<stream_state>& stream)
+{
+    std::exponential_distribution<double> gap(stream->what.per_second);
+    stream->next += std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap(this->random)));
+    if (stream->next >= this->end) {
+        --this->active_streams;
+        if (this->active_streams == 0 && this->in_flight == 0) {
+            this->on_finished();
+        }
+        return;
+    }
+    stream->timer.expires_at(stream->next);
+    stream->timer.async_wait([this, stream](const boost::system::error_code& failure) {
+        if (!failure) {
+            this->send(stream);
+            this->schedule(stream);
+        }
+    });
+}
+
+void load_generator::send(const std::shared_ptr<stream_state>& stream)
+{
+    operation what;
+    what.service = stream->what.service;
+    what.method = stream->what.method;
+    what.customer = stream->what.customer;
+    what.region = stream->what.region;
+    what.deadline = stream->what.deadline;
+    what.intended_at = stream->next;
+    what.order_id = this->plan.order_prefix + "-" + std::to_string(++this->sent);
+    const auto distinct = static_cast<std::uint64_t>(stream->what.distinct_targets);
+    what.target = "/" + what.service.str() + "/item/" + std::to_string(this->random() % distinct);
+    ++this->in_flight;
+    //! NOTE The stream is held until its last answer.
+    stream->session.run(what, [this, stream](const operation& done, const operation_result& result) {
+        this->on_result(done, result);
+    });
+}
+
+void load_generator::on_result(const operation& what, const operation_result& result)
+{
+    --this->in_flight;
+    this->results.add(what, result);
+    if (this->hook) {
+        this->hook(what, result);
+    }
+    if (this->active_streams == 0 && this->in_flight == 0) {
+        this->on_finished();
+    }
+}
+} // namespace buckthornhill::load
