--- a/src/daemon/request_engine.cpp
+++ b/src/daemon/request_engine.cpp
@@ -61,7 +61,7 @@
 request_engine::request_engine(boost::asio::io_context& io, const daemon_configuration& settings,
                                request_metrics& counters, random_hook source, std::function<void()> stopped)
     : configuration(settings)
-    , context(io)
+    
     , metrics(counters)
     , random(std::move(source))
     , on_stopped(std::move(stopped))
