--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -65,6 +65,13 @@
     }
 }
 
+void admission_controller::set_paused(bool value)
+{
+    for (auto& [name, service] : this->by_service) {
+        service.set_paused(value);
+    }
+}
+
 admission_decision admission_controller::offer(time_point now, const admission_request& request)
 {
     auto* found = this->find(request.service);
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -19,6 +19,8 @@
     void on_load_report(time_point now, const service_id& service, const upstream_id& upstream,
                         std::int64_t in_use);
     void restart_ramps(time_point now);
+    //! While paused nothing starts, not even what waits; waiting requests still expire.
+    void set_paused(bool value);
 
     admission_decision offer(time_point now, const admission_request& request);
     void on_finish(time_point now, const service_id& service, flow_id flow, attempt_result result);
--- a/src/admission/service_admission.cpp
+++ b/src/admission/service_admission.cpp
@@ -201,6 +201,9 @@
     if (request.deadline <= now) {
         return this->refuse(now, refusal_reason::deadline_passed, request.priority);
     }
+    if (this->is_paused) {
+        return this->refuse(now, refusal_reason::resynchronizing, request.priority);
+    }
     if (this->total_slots() == 0 || this->total_limit(now) == 0) {
         return this->refuse(now, refusal_reason::no_upstream, request.priority);
     }
@@ -292,7 +295,7 @@
 void service_admission::start_waiting(time_point now)
 {
     this->expire_waiting(now);
-    while (this->queue.size() > 0) {
+    while (this->queue.size() > 0 && !this->is_paused) {
         upstream_slots* chosen = nullptr;
         const auto next = this->queue.pop([&](const admission_request& candidate) {
             chosen = this->choose_upstream(now, candidate);
--- a/src/admission/service_admission.h
+++ b/src/admission/service_admission.h
@@ -21,6 +21,7 @@
     void set_admitting(time_point now, const upstream_id& upstream, bool value);
     void on_load_report(time_point now, const upstream_id& upstream, std::int64_t in_use);
     void restart_ramps(time_point now);
+    void set_paused(bool value) { this->is_paused = value; }
 
     admission_decision offer(time_point now, const admission_request& request);
     void on_finish(time_point now, flow_id flow, attempt_result result);
@@ -80,6 +81,7 @@
     std::int64_t remote_cap = 0;
     std::int64_t direct_remote = 0; //!< requests of other regions' callers that came straight here
     double mean_service_us = 0;
+    bool is_paused = false;
     std::vector<admission_event> events;
 };
 } // namespace buckthornhill::admission
--- a/src/health/health_monitor.cpp
+++ b/src/health/health_monitor.cpp
@@ -13,8 +13,8 @@
     auto [position, is_new] = this->upstreams.try_emplace(upstream);
     if (is_new) {
         //! NOTE A new upstream is probed at once; its load is not known yet.
-        position->second = {service, condition::healthy, 0, now - this->configuration.quiet_before_probe,
-                            now - this->configuration.quiet_before_probe};
+        const auto long_ago = now - this->configuration.quiet_before_probe;
+        position->second = {service, condition::unverified, 0, long_ago, long_ago, now};
     }
 }
 
@@ -32,13 +32,26 @@
     auto& known = found->second;
     known.failures_in_row = 0;
     known.last_signal = now;
-    if (known.state != condition::ejected) {
+    if (known.state == condition::healthy) {
         return false;
     }
     known.state = condition::healthy;
     return true;
 }
 
+bool health_monitor::on_tick(time_point now)
+{
+    bool has_changed = false;
+    for (auto& [id, known] : this->upstreams) {
+        const bool is_overdue = now - known.owned_since >= this->configuration.verify_wait;
+        if (known.state == condition::unverified && is_overdue) {
+            known.state = condition::healthy;
+            has_changed = true;
+        }
+    }
+    return has_changed;
+}
+
 void health_monitor::set_service_view(const service_id& service, std::size_t total,
                                       std::size_t ejected_elsewhere)
 {
@@ -83,18 +96,21 @@
 
 bool health_monitor::on_leaving_sign(const upstream_id& upstream)
 {
-    const auto found = this->upstreams.find(upstream);
-    if (found == this->upstreams.end() || found->second.state == condition::leaving) {
-        return false;
-    }
-    found->second.state = condition::leaving;
-    return true;
+    return this->leaving_upstreams.insert(upstream).second;
+}
+
+void health_monitor::prune_leaving(const std::function<bool(const upstream_id&)>& is_listed)
+{
+    std::erase_if(this->leaving_upstreams, [&](const upstream_id& id) { return !is_listed(id); });
 }
 
 condition health_monitor::condition_of(const upstream_id& upstream) const
 {
+    if (this->leaving_upstreams.contains(upstream)) {
+        return condition::leaving;
+    }
     const auto found = this->upstreams.find(upstream);
-    return found == this->upstreams.end() ? condition::healthy : found->second.state;
+    return found == this->upstreams.end() ? condition::unverified : found->second.state;
 }
 
 std::vector<upstream_id> health_monitor::take_due_probes(time_point now)
--- a/src/health/health_monitor.h
+++ b/src/health/health_monitor.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "health/health_types.h"
@@ -18,7 +20,13 @@
     //! Each returns whether the upstream's condition changed.
     bool on_success(time_point now, const upstream_id& upstream);
     bool on_failure(time_point now, const upstream_id& upstream);
+    //! From the upstream itself or from a peer. It is kept whoever owns the upstream.
     bool on_leaving_sign(const upstream_id& upstream);
+    //! Ends the wait of upstreams that never answered a probe; returns whether a condition changed.
+    bool on_tick(time_point now);
+    const std::set<upstream_id>& leaving() const { return this->leaving_upstreams; }
+    //! Forgets signs of upstreams that `is_listed` no longer knows.
+    void prune_leaving(const std::function<bool(const upstream_id&)>& is_listed);
 
     //! Size of the service in the whole system, and its upstreams that other instances have ejected.
     void set_service_view(const service_id& service, std::size_t total, std::size_t ejected_elsewhere);
@@ -34,10 +42,11 @@
     struct upstream_health
     {
         service_id service;
-        condition state = condition::healthy;
+        condition state = condition::unverified;
         int failures_in_row = 0;
         time_point last_signal;
         time_point last_probe;
+        time_point owned_since;
     };
 
     struct service_view
@@ -51,5 +60,6 @@
     health_configuration configuration;
     std::map<upstream_id, upstream_health> upstreams;
     std::map<service_id, service_view> services;
+    std::set<upstream_id> leaving_upstreams;
 };
 } // namespace buckthornhill::health
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -34,7 +34,9 @@
     this->state.admission.restart_ramps(now);
     if (this->state.members.size() > 0 && !this->awaits_resync) {
         this->awaits_resync = true;
+        this->resync_round = this->heartbeat_round + 1;
         this->coordinator.set_admitting(false);
+        this->state.admission.set_paused(true);
         this->next_heartbeat = now;
     }
 }
@@ -46,6 +48,7 @@
     }
     this->awaits_resync = false;
     this->coordinator.set_admitting(true);
+    this->state.admission.set_paused(false);
     if (this->leave_step == leave_phase::serving) {
         this->state.members.set_state(member_state::live);
     }
@@ -130,6 +133,8 @@
     if (name == lists::document_name::instances) {
         this->state.members.on_seed(now, lists.instances().entries);
         this->state.directory.rebuild(lists.instances().upstreams);
+        this->state.health.prune_leaving(
+            [this](const upstream_id& id) { return this->state.directory.find(id) != nullptr; });
     }
     this->state.gate.update(lists.plans(), lists.quotas(), lists.drains(), lists.instances());
     this->rebuild(now);
@@ -250,6 +255,8 @@
     message.reports = this->state.admission.reports(now);
     message.handovers = this->state.handovers.incarnations();
     message.crash_notes = this->notes_to_send;
+    message.leaving = {this->state.health.leaving().begin(), this->state.health.leaving().end()};
+    message.round = this->heartbeat_round;
     const auto* peer = this->state.members.find(receiver);
     const bool is_same_region =
         peer != nullptr && peer->record.description.region == this->state.members.self().description.region;
@@ -282,6 +289,7 @@
 void entry_node::send_heartbeats(time_point now, const std::vector<instance_id>& targets)
 {
     const auto gossip = this->state.members.next_gossip();
+    ++this->heartbeat_round;
     for (const auto& target : targets) {
         const auto* member = this->state.members.find(target);
         if (member != nullptr) {
@@ -308,9 +316,27 @@
     if (notes.empty()) {
         return;
     }
-    this->notes_to_send = notes;
-    this->send_heartbeats(now, this->all_members());
+    const auto targets = this->all_members();
+    this->notes_to_send = this->state.crashes.notes();
+    this->notes_to_send.insert(this->notes_to_send.end(), notes.begin(), notes.end());
+    this->send_heartbeats(now, targets);
     this->notes_to_send.clear();
+    this->notes_round = this->heartbeat_round;
+    this->notes_awaited = {targets.begin(), targets.end()};
+    if (targets.empty()) {
+        this->coordinator.on_notes_spread(now);
+    }
+}
+
+void entry_node::confirm_notes(time_point now, const peers::heartbeat& answer)
+{
+    if (answer.answers_round < this->notes_round || this->notes_awaited.empty()) {
+        return;
+    }
+    this->notes_awaited.erase(answer.members.front().description.id);
+    if (this->notes_awaited.empty()) {
+        this->coordinator.on_notes_spread(now);
+    }
 }
 
 void entry_node::absorb_reports(time_point now, const peers::heartbeat& message)
@@ -346,6 +372,10 @@
     for (const auto& note : message.crash_notes) {
         this->state.crashes.on_note(now, note);
     }
+    bool has_leaving_sign = false;
+    for (const auto& upstream : message.leaving) {
+        has_leaving_sign |= this->state.health.on_leaving_sign(upstream);
+    }
     for (const auto incarnation : message.handovers) {
         this->state.handover_holders[incarnation] = sender.id;
     }
@@ -362,12 +392,17 @@
     if (missing.empty()) {
         this->confirmed_at = now;
     }
+    //! NOTE A message that was on its way during the pause tells of the time before it, so only the answer
+    //! to a heartbeat that was sent since then counts.
+    const bool is_answer = this->awaits_resync && message.answers_round >= this->resync_round;
     const bool knows_lists = missing.empty() && !message.versions.empty();
-    if (knows_lists || (this->awaits_resync && this->has_store_answer)) {
+    if (is_answer && (knows_lists || this->has_store_answer)) {
         this->finish_resync(now);
     }
     if (has_changed) {
         this->rebuild(now);
+    } else if (has_leaving_sign) {
+        this->apply_conditions(now);
     }
 }
 
@@ -375,14 +410,19 @@
 {
     this->notice_time(now);
     this->absorb(now, message);
-    return this->make_heartbeat(now, message.members.front().description.id,
-                                this->state.members.next_gossip());
+    auto answer = this->make_heartbeat(now, message.members.front().description.id,
+                                       this->state.members.next_gossip());
+    answer.crash_notes = this->some_notes();
+    answer.answers_round = message.round;
+    return answer;
 }
 
 void entry_node::on_heartbeat_answer(time_point now, const peers::heartbeat& message)
 {
     this->notice_time(now);
     this->absorb(now, message);
+    this->confirm_notes(now, message);
+    this->share_notes(now);
 }
 
 void entry_node::on_handover(const requests::ticket_handover& handover)
@@ -484,6 +524,17 @@
     }
 }
 
+std::vector<quarantine::crash_note> entry_node::some_notes()
+{
+    auto notes = this->state.crashes.notes();
+    if (notes.size() > max_notes_in_heartbeat) {
+        this->note_position = (this->note_position + max_notes_in_heartbeat) % notes.size();
+        std::rotate(notes.begin(), notes.begin() + static_cast<std::ptrdiff_t>(this->note_position), notes.end());
+        notes.resize(max_notes_in_heartbeat);
+    }
+    return notes;
+}
+
 void entry_node::on_tick(time_point now)
 {
     this->notice_time(now);
@@ -495,6 +546,9 @@
         this->finish_resync(now);
     }
     this->state.crashes.on_tick(now);
+    if (this->state.health.on_tick(now)) {
+        this->apply_conditions(now);
+    }
     this->state.admission.on_tick(now);
     this->coordinator.on_tick(now);
     for (auto& [service, admission] : this->state.admission.services()) {
@@ -515,14 +569,7 @@
     for (auto& [service, admission] : this->state.admission.services()) {
         admission.grant_credits(now);
     }
-    auto notes = this->state.crashes.notes();
-    if (notes.size() > max_notes_in_heartbeat) {
-        this->note_position = (this->note_position + max_notes_in_heartbeat) % notes.size();
-        std::rotate(notes.begin(), notes.begin() + static_cast<std::ptrdiff_t>(this->note_position),
-                    notes.end());
-        notes.resize(max_notes_in_heartbeat);
-    }
-    this->notes_to_send = std::move(notes);
+    this->notes_to_send = this->some_notes();
     this->send_heartbeats(now, this->state.members.pick_targets());
     this->notes_to_send.clear();
 }
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -69,7 +69,10 @@
     peers::heartbeat make_heartbeat(time_point now, const instance_id& receiver, membership::gossip gossip);
     void send_heartbeats(time_point now, const std::vector<instance_id>& targets);
     std::vector<instance_id> all_members() const;
+    //! Crash notes for one heartbeat; those beyond its bound take turns.
+    std::vector<quarantine::crash_note> some_notes();
     void share_notes(time_point now);
+    void confirm_notes(time_point now, const peers::heartbeat& answer);
     void refresh_own_report(time_point now);
     void advance_leave(time_point now);
     void send_handover();
@@ -83,6 +86,10 @@
     std::map<instance_id, std::map<service_id, std::int64_t>> ejected_elsewhere;
     std::set<instance_id> ticket_askers;
     std::vector<quarantine::crash_note> notes_to_send;
+    std::set<instance_id> notes_awaited; //!< peers that have not confirmed the last crash notes
+    std::uint64_t notes_round = 0;
+    std::uint64_t heartbeat_round = 0;
+    std::uint64_t resync_round = 1; //!< the answer to this heartbeat, or a later one, ends the resynchronization
     time_point last_event{};
     time_point next_heartbeat{};
     time_point confirmed_at{};
--- a/src/node/node_types.h
+++ b/src/node/node_types.h
@@ -32,6 +32,7 @@
     std::chrono::milliseconds leave_linger{4000}; //!< a leaving instance forwards for so long at least
     std::chrono::milliseconds confirm_lifetime{
         5000};                                   //!< versions confirmed longer ago are reported as doubtful
+    std::chrono::milliseconds max_note_wait{1000};     //!< for peers to confirm that they know of a crash
     std::chrono::milliseconds answer_grace{100}; //!< beyond the deadline for an owner's refusal to arrive
     std::uint64_t lookup_tickets = 8;            //!< in each look-up answer
     std::uint64_t refusal_tickets = 4;           //!< in each answer to a non-idempotent request
--- a/src/node/request_coordinator.cpp
+++ b/src/node/request_coordinator.cpp
@@ -363,18 +363,18 @@
     //! NOTE The answer waits until the notes have reached the peers, so that a resend meets them anywhere.
     flow.avoid = flow.upstream;
     flow.step = phase::held;
-    flow.held_until = now + 2 * this->configuration.steering.region_distance;
+    flow.held_until = now + this->configuration.max_note_wait;
     this->held.insert(flow.facts.flow);
 }
 
-void request_coordinator::release_held(time_point now)
+void request_coordinator::release_held(time_point now, bool are_notes_spread)
 {
     const auto waiting = this->held;
     for (const auto id : waiting) {
         const auto found = this->flows.find(id);
         if (found == this->flows.end()) {
             this->held.erase(id);
-        } else if (now >= found->second.held_until) {
+        } else if (are_notes_spread || now >= found->second.held_until) {
             this->held.erase(id);
             this->retry_or_unknown(now, found->second);
         }
@@ -499,9 +499,15 @@
     this->handle_admission_events(now);
 }
 
+void request_coordinator::on_notes_spread(time_point now)
+{
+    this->release_held(now, true);
+    this->handle_admission_events(now);
+}
+
 void request_coordinator::on_tick(time_point now)
 {
-    this->release_held(now);
+    this->release_held(now, false);
     this->handle_admission_events(now);
 }
 
--- a/src/node/request_coordinator.h
+++ b/src/node/request_coordinator.h
@@ -32,6 +32,8 @@
 
     std::size_t flow_count() const { return this->flows.size(); }
     //! Crash notes that peers have to get before the callers get their answers.
+    //! Every reachable peer has the notes, so the answers held back for them may go out.
+    void on_notes_spread(time_point now);
     std::vector<quarantine::crash_note> take_fresh_notes() { return std::exchange(this->fresh_notes, {}); }
 
 private:
@@ -79,7 +81,7 @@
     void on_admit_result(time_point now, flow_state& flow, const peer_result& result);
     void on_resend_result(flow_state& flow, const peer_result& result);
     void retry_or_unknown(time_point now, flow_state& flow);
-    void release_held(time_point now);
+    void release_held(time_point now, bool are_notes_spread);
     void finish(flow_id id, requests::outcome result, admission::refusal_reason reason, duration retry_after,
                 const requests::answer_ptr& answer);
     void emit_answer(const flow_state& flow, requests::outcome result, admission::refusal_reason reason,
--- a/src/peers/heartbeat_codec.cpp
+++ b/src/peers/heartbeat_codec.cpp
@@ -176,6 +176,11 @@
     for (const auto& item : reader.array("handovers")) {
         message.handovers.emplace_back(item.to_number<std::uint64_t>());
     }
+    for (std::size_t i = 0; i < reader.array("leaving").size(); ++i) {
+        message.leaving.emplace_back(std::string(reader.array("leaving")[i].as_string()));
+    }
+    message.round = reader.unsigned_integer("round");
+    message.answers_round = reader.unsigned_integer("answers_round");
     message.wants_tickets = reader.flag_or("wants_tickets", false);
     if (reader.has("tickets")) {
         const auto tickets = reader.child("tickets");
@@ -241,6 +246,12 @@
     for (const auto incarnation : message.handovers) {
         handovers.push_back(incarnation.value());
     }
+    auto& leaving = object["leaving"].emplace_array();
+    for (const auto& upstream : message.leaving) {
+        leaving.emplace_back(upstream.str());
+    }
+    object["round"] = message.round;
+    object["answers_round"] = message.answers_round;
     object["wants_tickets"] = message.wants_tickets;
     if (message.tickets.count > 0) {
         object["tickets"] = {{"inc", message.tickets.incarnation.value()},
