--- a/buildscripts/demo.sh
+++ b/buildscripts/demo.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # From a fresh machine: installs, builds, starts one example deployment and sends real requests through it.
-# Usage: buildscripts/demo.sh [bureau|plisse] [requests a second of each stream]
+# Usage: buildscripts/demo.sh [bureau|plisse] [requests a second of each stream] [stay]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 buildscripts/install.sh
 buildscripts/build.sh | tail -1
-exec build/bin/bth-demo "examples/${1:-bureau}" "${2:-60}"
+exec build/bin/bth-demo "examples/${1:-bureau}" "${2:-60}" "${3:-}"
--- a/buildscripts/test.sh
+++ b/buildscripts/test.sh
@@ -10,7 +10,7 @@
 buildscripts/lint.sh || { echo "The formatter or the linter found something."; failed=$((failed + 1)); }
 
 results=$(mktemp)
-ctest --test-dir build --output-on-failure --no-tests=error -j 2 | tee "$results"
+ctest --test-dir build --output-on-failure --no-tests=error -j "$(nproc)" | tee "$results"
 passed=$(grep -cE '^ *[0-9]+/[0-9]+ Test .*Passed' "$results")
 mapfile -t red < <(sed -nE 's/^ *[0-9]+\/[0-9]+ Test +#[0-9]+: ([^ ]+) .*(Failed|Timeout|Not Run|Exception|Subprocess aborted).*/\1/p' "$results")
 rm -f "$results"
--- a/src/admission/smoothed_level.h
+++ b/src/admission/smoothed_level.h
@@ -10,7 +10,10 @@
 class smoothed_level
 {
 public:
-    explicit smoothed_level(duration forgetting_time) : forgetting(forgetting_time) {}
+    explicit smoothed_level(duration forgetting_time)
+        : forgetting(forgetting_time)
+    {
+    }
 
     void observe(time_point now, std::int64_t level)
     {
--- a/src/daemon/request_engine.cpp
+++ b/src/daemon/request_engine.cpp
@@ -61,10 +61,11 @@
 request_engine::request_engine(boost::asio::io_context& io, const daemon_configuration& settings,
                                request_metrics& counters, random_hook source, std::function<void()> stopped)
     : configuration(settings)
-    
+
     , metrics(counters)
     , random(std::move(source))
     , on_stopped(std::move(stopped))
+    , burn({settings.availability_objective, settings.latency_objective})
     , timer(std::make_unique<engine_timer>(io))
     , client(std::make_unique<http::http_client>(
           io, http::client_limits{max_idle_connections, settings.caller_limits.max_body_bytes + (4U << 20),
@@ -163,7 +164,7 @@
         exchange->respond(std::move(response));
         return;
     }
-    this->flows.emplace(flow, flow_io{exchange, time, is_from_peer, 0, {}, facts.service});
+    this->flows.emplace(flow, flow_io{exchange, time, is_from_peer, 0, {}, facts.service, facts.customer});
     exchange->on_cancelled([this, flow] {
         this->node->on_cancelled(now(), flow);
         this->run_actions();
@@ -260,7 +261,7 @@
 
 std::string request_engine::status()
 {
-    return status_report(*this->node, now());
+    return status_report(*this->node, this->burn, now());
 }
 
 void request_engine::run_actions()
@@ -329,11 +330,25 @@
     }
     const auto& flow = node.mapped();
     if (!flow.is_from_peer) {
-        this->metrics.on_answer(flow.service, action.result, action.reason, now() - flow.started_at);
+        this->record_answer(flow, action);
     }
     flow.exchange->respond(response_of(action));
 }
 
+void request_engine::record_answer(const flow_io& flow, const node::answer_action& action)
+{
+    const auto time = now();
+    const auto took = time - flow.started_at;
+    this->metrics.on_answer(flow.service, action.result, action.reason, took);
+    const bool is_protocol_step = action.reason == admission::refusal_reason::ticket_required;
+    if (!is_protocol_step && this->node->slices().directory.knows(flow.service)) {
+        const bool is_on_plan = this->node->slices().usage.is_on_plan(flow.customer);
+        this->burn.on_answer(time, flow.service,
+                             is_on_plan ? burn::customer_group::on_plan : burn::customer_group::off_plan,
+                             action.result == requests::outcome::done, took);
+    }
+}
+
 http::http_request request_engine::peer_message(std::string_view path, std::string body) const
 {
     http::http_request request;
--- a/src/daemon/request_engine.h
+++ b/src/daemon/request_engine.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "burn/burn_recorder.h"
 #include "daemon/daemon_configuration.h"
 #include "global/units.h"
 #include "http/http_client.h"
@@ -47,6 +48,7 @@
         std::uint64_t attempt = 0;
         http::call_id call;
         service_id service;
+        customer_id customer;
     };
 
     void on_caller(const http::exchange_ptr& exchange);
@@ -65,6 +67,7 @@
     void run(const node::fetch_document_action& action);
     void run(const node::probe_action& action);
     void run(const node::handover_action& action);
+    void record_answer(const flow_io& flow, const node::answer_action& action);
     void schedule_tick();
     void ask_seed_peers();
     http::http_request peer_message(std::string_view path, std::string body) const;
@@ -73,6 +76,7 @@
     request_metrics& metrics;
     random_hook random;
     std::function<void()> on_stopped;
+    burn::burn_recorder burn;
     std::unique_ptr<engine_timer> timer;
     std::unique_ptr<http::http_client> client;
     std::unique_ptr<http::http_server> callers;
--- a/src/daemon/status_report.cpp
+++ b/src/daemon/status_report.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "burn/burn_recorder.h"
 #include "lists/list_codec.h"
 #include "node/entry_node.h"
 
@@ -80,9 +81,28 @@
     }
     return upstreams;
 }
+json::object describe_burn(const burn::burn_recorder& burn, time_point now)
+{
+    json::array rows;
+    for (const auto& service : burn.services()) {
+        for (const auto group : {burn::customer_group::on_plan, burn::customer_group::off_plan}) {
+            json::object windows;
+            for (const auto& window : burn::burn_windows) {
+                const auto counts = burn.counts(now, service, group, window.length);
+                windows[window.name] = {{"good", counts.good}, {"bad", counts.bad}};
+            }
+            rows.push_back({{"service", service.str()},
+                            {"customers", group == burn::customer_group::on_plan ? "on-plan" : "off-plan"},
+                            {"windows", std::move(windows)}});
+        }
+    }
+    return {{"availability_objective", burn.objectives().availability},
+            {"latency_objective_ms", burn.objectives().latency.count()},
+            {"rows", std::move(rows)}};
+}
 } // namespace
 
-std::string status_report(node::entry_node& node, time_point now)
+std::string status_report(node::entry_node& node, const burn::burn_recorder& burn, time_point now)
 {
     auto& slices = node.slices();
     json::object report = describe_member(slices.members.self());
@@ -103,6 +123,7 @@
     report["services"] = describe_services(slices, now);
     report["upstreams"] = describe_upstreams(slices, now);
     report["drains"] = describe_drains(slices.gate);
+    report["burn"] = describe_burn(burn, now);
     report["suspected_requests"] = slices.crashes.size();
     return json::serialize(report);
 }
--- a/src/daemon/status_report.h
+++ b/src/daemon/status_report.h
@@ -8,7 +8,11 @@
 class entry_node;
 }
 
+namespace buckthornhill::burn {
+class burn_recorder;
+}
+
 namespace buckthornhill::daemon {
 //! What one instance knows, as JSON for the operators' tool.
-std::string status_report(node::entry_node& node, time_point now);
+std::string status_report(node::entry_node& node, const burn::burn_recorder& burn, time_point now);
 } // namespace buckthornhill::daemon
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -410,8 +410,8 @@
 {
     this->notice_time(now);
     this->absorb(now, message);
-    auto answer = this->make_heartbeat(now, message.members.front().description.id,
-                                       this->state.members.next_gossip());
+    auto answer =
+        this->make_heartbeat(now, message.members.front().description.id, this->state.members.next_gossip());
     answer.crash_notes = this->some_notes();
     answer.answers_round = message.round;
     return answer;
@@ -531,7 +531,8 @@
     auto notes = this->state.crashes.notes();
     if (notes.size() > max_notes_in_heartbeat) {
         this->note_position = (this->note_position + max_notes_in_heartbeat) % notes.size();
-        std::rotate(notes.begin(), notes.begin() + static_cast<std::ptrdiff_t>(this->note_position), notes.end());
+        std::rotate(notes.begin(), notes.begin() + static_cast<std::ptrdiff_t>(this->note_position),
+                    notes.end());
         notes.resize(max_notes_in_heartbeat);
     }
     return notes;
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -91,7 +91,8 @@
     std::set<instance_id> notes_awaited; //!< peers that have not confirmed the last crash notes
     std::uint64_t notes_round = 0;
     std::uint64_t heartbeat_round = 0;
-    std::uint64_t resync_round = 1; //!< the answer to this heartbeat, or a later one, ends the resynchronization
+    std::uint64_t resync_round =
+        1; //!< the answer to this heartbeat, or a later one, ends the resynchronization
     time_point last_event{};
     time_point next_heartbeat{};
     time_point confirmed_at{};
--- a/src/node/request_coordinator.cpp
+++ b/src/node/request_coordinator.cpp
@@ -257,9 +257,11 @@
             service->set_remote_cap(this->slices.shift.cap(now, facts.service));
         }
     }
-    //! NOTE A suspect goes to one owner from every region, so it needs no credit; the cap on shifts holds for it.
+    //! NOTE A suspect goes to one owner from every region, so it needs no credit; the cap on shifts holds for
+    //! it.
     const auto creditor = flow.is_on_trial ? instance_id{} : flow.from;
-    const auto decision = this->slices.admission.offer(now, {facts.flow, facts.service, flow.priority, flow.origin, creditor,
+    const auto decision =
+        this->slices.admission.offer(now, {facts.flow, facts.service, flow.priority, flow.origin, creditor,
                                            facts.deadline, facts.is_idempotent, facts.affinity, flow.avoid});
     if (decision.kind == admission_kind::started) {
         this->start_at_upstream(now, flow, decision.upstream);
--- a/src/node/tests/interleaving_tests.cpp
+++ b/src/node/tests/interleaving_tests.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 //! Runs in CI; `BTH_SEEDS` sets another number for runs by hand, `BTH_FIRST_SEED` where they start.
-constexpr std::uint64_t default_seeds = 40;
+constexpr std::uint64_t default_seeds = 250;
 
 std::uint64_t number_from(const char* variable, std::uint64_t fallback)
 {
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -10,7 +10,7 @@
 namespace {
 constexpr int max_delay_ms = 30;
 constexpr milliseconds tick_interval{50};
-constexpr milliseconds fault_interval{1500};
+constexpr milliseconds fault_interval{700};
 constexpr milliseconds leave_grace{3000}; //!< from the brief: a few seconds
 constexpr milliseconds order_deadline{1500};
 const service_id the_service("orders");
@@ -153,7 +153,8 @@
         return;
     }
     if (this->now < slot.frozen_until) {
-        this->at(slot.frozen_until, [this, index, incarnation, run] { this->on_instance(index, incarnation, run); });
+        this->at(slot.frozen_until,
+                 [this, index, incarnation, run] { this->on_instance(index, incarnation, run); });
         return;
     }
     run();
@@ -226,20 +227,22 @@
         }
         *settled = true;
         this->on_instance(index, incarnation, [this, index, action] {
-            this->instances[index]->node->on_upstream_result(this->now, action.flow, action.attempt, action.upstream,
-                                                             {attempt_status::timed_out, false, false, -1, nullptr});
+            this->instances[index]->node->on_upstream_result(
+                this->now, action.flow, action.attempt, action.upstream,
+                {attempt_status::timed_out, false, false, -1, nullptr});
         });
     });
 }
 
-void node_world::arrive_at_upstream(std::size_t index, std::uint64_t incarnation, const start_upstream_action& action,
-                                    const std::shared_ptr<bool>& settled)
+void node_world::arrive_at_upstream(std::size_t index, std::uint64_t incarnation,
+                                    const start_upstream_action& action, const std::shared_ptr<bool>& settled)
 {
     auto& upstream = *this->upstreams.at(action.upstream.str());
     const auto region = upstream.description.region;
     const auto report = [this, index, incarnation, action, settled, region](const upstream_result& result) {
         this->after_delay([this, index, incarnation, action, settled, result, region] {
-            const bool is_lost = result.status == attempt_status::complete && this->is_cut_from(index, region);
+            const bool is_lost =
+                result.status == attempt_status::complete && this->is_cut_from(index, region);
             if (*settled || is_lost) {
                 return;
             }
@@ -315,7 +318,8 @@
             this->on_instance(run.index, run.incarnation, [this, run, id] {
                 if (!std::exchange(*run.settled, true)) {
                     this->instances[run.index]->node->on_upstream_result(
-                        this->now, run.flow, run.attempt, id, {attempt_status::broken, false, false, -1, nullptr});
+                        this->now, run.flow, run.attempt, id,
+                        {attempt_status::broken, false, false, -1, nullptr});
                 }
             });
         });
@@ -339,7 +343,9 @@
             }
         });
     };
-    this->at(action.deadline, [report] { report({attempt_status::timed_out, outcome::unknown, {}, {}, nullptr, {}}); });
+    this->at(action.deadline, [report] {
+        report({attempt_status::timed_out, outcome::unknown, {}, {}, nullptr, {}});
+    });
     if (this->is_cut(index, target)) {
         return;
     }
@@ -358,13 +364,14 @@
             facts.deadline = action.deadline;
             facts.print = fingerprint(std::hash<std::string>{}(order));
             receiver.order_of_flow[facts.flow.value()] = order;
-            receiver.answers[facts.flow.value()] = [this, report, index, target](const answer_action& answer) {
+            receiver.answers[facts.flow.value()] = [this, report, index,
+                                                    target](const answer_action& answer) {
                 if (this->is_cut(index, target)) {
                     return;
                 }
                 this->after_delay([report, answer] {
-                    report({attempt_status::complete, answer.result, answer.reason, answer.retry_after, answer.answer,
-                            answer.tickets});
+                    report({attempt_status::complete, answer.result, answer.reason, answer.retry_after,
+                            answer.answer, answer.tickets});
                 });
             };
             if (action.kind == peer_request_kind::resend) {
@@ -487,9 +494,10 @@
     std::string entries;
     for (const auto& slot : this->instances) {
         const auto& self = slot->description;
-        entries += std::string(entries.empty() ? "" : ",") + R"({"id":")" + self.id.str() + R"(","region":")" +
-                   self.region.str() + R"(","domain":")" + self.domain.str() + R"(","peer_address":")" +
-                   self.peer_address + R"(","caller_address":")" + self.caller_address + "\"}";
+        entries += std::string(entries.empty() ? "" : ",") + R"({"id":")" + self.id.str() +
+                   R"(","region":")" + self.region.str() + R"(","domain":")" + self.domain.str() +
+                   R"(","peer_address":")" + self.peer_address + R"(","caller_address":")" +
+                   self.caller_address + "\"}";
     }
     std::string list;
     for (const auto& [id, upstream] : this->upstreams) {
@@ -500,7 +508,8 @@
                 std::to_string(description.slots.value()) + R"(,"state":")" +
                 (upstream->is_leaving ? "leaving" : "live") + "\"}";
     }
-    this->publish(lists::document_name::instances, "{\"entries\":[" + entries + "],\"upstreams\":[" + list + "]}");
+    this->publish(lists::document_name::instances,
+                  "{\"entries\":[" + entries + "],\"upstreams\":[" + list + "]}");
 }
 
 void node_world::read_store(std::size_t index)
@@ -544,7 +553,8 @@
     if (slot.incarnation == 0 || this->now < slot.frozen_until) {
         return;
     }
-    const auto answer = slot.node->look_up(this->now, the_service, slot.description.region, next->is_idempotent ? 0 : 4);
+    const auto answer =
+        slot.node->look_up(this->now, the_service, slot.description.region, next->is_idempotent ? 0 : 4);
     if (answer.entries.empty()) {
         return;
     }
@@ -576,10 +586,10 @@
             facts.affinity = what->print.value();
             facts.name = what->name;
             slot.order_of_flow[facts.flow.value()] = what->id;
-            slot.answers[facts.flow.value()] = [this, what,
-                                                sent_as = what->ticket_generation](const answer_action& answer) {
-                this->on_order_answer(what, answer, sent_as == what->ticket_generation);
-            };
+            slot.answers[facts.flow.value()] =
+                [this, what, sent_as = what->ticket_generation](const answer_action& answer) {
+                    this->on_order_answer(what, answer, sent_as == what->ticket_generation);
+                };
             slot.node->on_caller_request(this->now, facts);
         });
     });
@@ -596,7 +606,8 @@
     }
 }
 
-void node_world::on_order_answer(const std::shared_ptr<order>& what, const answer_action& answer, bool is_current)
+void node_world::on_order_answer(const std::shared_ptr<order>& what, const answer_action& answer,
+                                 bool is_current)
 {
     ++this->verdict.counts[std::string(requests::to_string(answer.result))];
     if (answer.result == outcome::not_executed) {
@@ -627,7 +638,8 @@
     if (is_up && this->chance(this->options.kill_chance)) {
         ++this->verdict.counts["kills"];
         slot.incarnation = 0;
-        this->at(this->now + milliseconds(300 + this->pick(2000)), [this, index] { this->start_instance(index); });
+        this->at(this->now + milliseconds(300 + this->pick(2000)),
+                 [this, index] { this->start_instance(index); });
     } else if (is_up && this->chance(this->options.freeze_chance)) {
         ++this->verdict.counts["freezes"];
         slot.frozen_until = this->now + milliseconds(500 + this->pick(6000));
@@ -682,8 +694,7 @@
     std::map<int, std::int64_t> shifted;
     for (std::size_t i = 0; i < this->instances.size(); ++i) {
         const auto& slot = *this->instances[i];
-        auto* admission =
-            slot.incarnation == 0 ? nullptr : slot.node->slices().admission.find(the_service);
+        auto* admission = slot.incarnation == 0 ? nullptr : slot.node->slices().admission.find(the_service);
         shifted[this->region_of(i)] += admission == nullptr ? 0 : admission->remote_in_flight();
     }
     const auto region_slots = 2 * this->options.upstreams_per_domain * this->options.slots;
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -20,7 +20,7 @@
     int instances = 6;
     int upstreams_per_domain = 2;
     std::int64_t slots = 3;
-    double kill_chance = 0;     //!< of each fault step
+    double kill_chance = 0; //!< of each fault step
     double freeze_chance = 0;
     double cut_chance = 0;
     bool cuts_upstreams = true; //!< a cut also parts instances from the upstreams of the other side
@@ -29,8 +29,8 @@
     double stop_chance = 0;     //!< a planned stop
     double poison_chance = 0;   //!< a request that crashes its upstream, resent by its caller
     double requests_per_second = 400;
-    double crowding = 0;        //!< share of orders that all go to region 0
-    std::chrono::milliseconds length{20000};
+    double crowding = 0; //!< share of orders that all go to region 0
+    std::chrono::milliseconds length{9000};
 };
 
 //! What went wrong in a run, by the promise that was broken.
@@ -101,7 +101,7 @@
     std::vector<std::unique_ptr<instance>> instances;
     std::map<std::string, std::unique_ptr<fake_upstream>> upstreams;
     std::map<lists::document_name, std::pair<std::uint64_t, std::string>> store;
-    std::map<std::string, int> runs; //!< executions by order
+    std::map<std::string, int> runs;                             //!< executions by order
     std::map<std::string, std::set<std::string>> poison_crashes; //!< upstreams by order
     std::set<std::string> told_not_executed;
     std::map<std::string, requests::ticket> tickets; //!< by order
--- /dev/null
+++ b/src/operators/fleet_access.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <boost/json/value.hpp>
+
+#include "operators/operators_types.h"
+#include "operators/store_access.h"
+
+namespace buckthornhill::operators {
+struct instance_status
+{
+    std::string id;
+    std::string address; //!< operators' address
+    bool is_answering = false;
+    boost::json::value status;
+};
+
+//! Asks every entry instance that the store lists for its state.
+class fleet_access
+{
+public:
+    fleet_access(const operators_configuration& configuration, const store_access& store);
+
+    std::vector<instance_status> statuses() const;
+    std::vector<std::string> caller_addresses() const;
+
+private:
+    const operators_configuration& configuration;
+    const store_access& store;
+};
+} // namespace buckthornhill::operators
--- /dev/null
+++ b/src/operators/report_commands.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+
+#include "operators/fleet_access.h"
+#include "operators/operators_types.h"
+
+namespace buckthornhill::operators {
+//! Commands that gather the state of all instances. Each returns what to print.
+class report_commands
+{
+public:
+    report_commands(const operators_configuration& configuration, const fleet_access& fleet);
+
+    std::string status() const;
+    std::string drain_status() const;
+    //! Burn by service and group of customers over all instances that answer.
+    std::string burn() const;
+
+private:
+    const operators_configuration& configuration;
+    const fleet_access& fleet;
+};
+} // namespace buckthornhill::operators
--- a/src/peers/peers_types.h
+++ b/src/peers/peers_types.h
@@ -24,9 +24,9 @@
     std::map<service_id, std::int64_t> ejected;     //!< upstreams that the sender ejected
     std::vector<quota::usage_record> usage;         //!< only within a region
     std::vector<quarantine::crash_note> crash_notes;
-    std::vector<upstream_id> leaving;                     //!< upstreams that said they leave
-    std::uint64_t round = 0;                              //!< the sender's count of heartbeats
-    std::uint64_t answers_round = 0;                      //!< in an answer, the round that it answers
+    std::vector<upstream_id> leaving;      //!< upstreams that said they leave
+    std::uint64_t round = 0;               //!< the sender's count of heartbeats
+    std::uint64_t answers_round = 0;       //!< in an answer, the round that it answers
     std::vector<incarnation_id> handovers; //!< stopped incarnations whose outcomes it keeps
     requests::ticket_block tickets;        //!< of the sender, for look-ups at the receiver
     bool wants_tickets = false;
--- a/tests/processes/failure_tests.cpp
+++ b/tests/processes/failure_tests.cpp
@@ -18,8 +18,8 @@
 
 constexpr milliseconds load_length{4000};
 constexpr double rate_per_stream = 40;
-const std::vector<std::string> quick_detection{"--heartbeat-ms=100", "--gone-after-ms=800", "--lookup-ttl-ms=300",
-                                               "--linger-ms=600"};
+const std::vector<std::string> quick_detection{"--heartbeat-ms=100", "--gone-after-ms=800",
+                                               "--lookup-ttl-ms=300", "--linger-ms=600"};
 const std::string bureau = std::string(EXAMPLES_DIR) + "/bureau/deployment.json";
 
 std::unique_ptr<deployment> start_bureau(int service_us = 20000)
@@ -46,12 +46,13 @@
     audited_run run;
     std::set<std::string> idempotent;
     const auto plan = system.make_plan(rate_per_stream, load_length);
-    run.report = system.run_load(plan, events, [&](const load::operation& what, const load::operation_result& result) {
-        run.audit.on_result(what, result);
-        if (what.method == "GET") {
-            idempotent.insert(what.order_id);
-        }
-    });
+    run.report =
+        system.run_load(plan, events, [&](const load::operation& what, const load::operation_result& result) {
+            run.audit.on_result(what, result);
+            if (what.method == "GET") {
+                idempotent.insert(what.order_id);
+            }
+        });
     run.faults = run.audit.faults(system.execution_log(), idempotent);
     return run;
 }
@@ -76,7 +77,8 @@
     const auto system = start_bureau();
     auto& victim = system->daemons()[4];
     // [WHEN] One instance, an entry and an owner, is killed in the middle
-    const auto run = run_audited(*system, {{milliseconds(1500), [&victim] { victim.process->signal(SIGKILL); }}});
+    const auto run =
+        run_audited(*system, {{milliseconds(1500), [&victim] { victim.process->signal(SIGKILL); }}});
     // [THEN] No order ran twice, and none ran that was told not to have run
     require_promises(run);
 }
@@ -87,8 +89,9 @@
     const auto system = start_bureau();
     const auto& victim = system->daemons()[2];
     // [WHEN] One instance is paused for longer than its peers wait, and goes on
-    const auto run = run_audited(*system, {{milliseconds(1000), [&victim] { victim.process->signal(SIGSTOP); }},
-                                           {milliseconds(2800), [&victim] { victim.process->signal(SIGCONT); }}});
+    const auto run =
+        run_audited(*system, {{milliseconds(1000), [&victim] { victim.process->signal(SIGSTOP); }},
+                              {milliseconds(2800), [&victim] { victim.process->signal(SIGCONT); }}});
     // [THEN] The promises hold
     require_promises(run);
 }
@@ -98,8 +101,8 @@
     // [GIVEN] A running deployment under load
     const auto system = start_bureau();
     // [WHEN] The store stops answering
-    const auto run =
-        run_audited(*system, {{milliseconds(1000), [&system] { system->set_store_faults(R"({"down":true})"); }}});
+    const auto run = run_audited(
+        *system, {{milliseconds(1000), [&system] { system->set_store_faults(R"({"down":true})"); }}});
     // [THEN] Nothing is refused for it
     require_promises(run);
     REQUIRE(run.report.total().not_executed == 0);
@@ -140,7 +143,8 @@
     const auto system = start_bureau();
     auto& leaver = system->daemons()[3];
     // [WHEN] One instance is asked to stop
-    const auto run = run_audited(*system, {{milliseconds(1000), [&leaver] { leaver.process->signal(SIGTERM); }}});
+    const auto run =
+        run_audited(*system, {{milliseconds(1000), [&leaver] { leaver.process->signal(SIGTERM); }}});
     const auto exit_code = leaver.process->wait();
     // [THEN] It ends well, and every request was answered as done
     require_promises(run);
@@ -160,8 +164,9 @@
     };
     // [WHEN] An upstream says that it drains
     const auto run = run_audited(
-        *system, {{milliseconds(500), [&] { system->call_upstreams("POST", "/control/drain?id=orderdesk-17"); }},
-                  {milliseconds(3500), [&] { runs_at_limit = runs_of_leaver(); }}});
+        *system,
+        {{milliseconds(500), [&] { system->call_upstreams("POST", "/control/drain?id=orderdesk-17"); }},
+         {milliseconds(3500), [&] { runs_at_limit = runs_of_leaver(); }}});
     // [THEN] Its count of runs stands still after 3 s, and no request was cut
     require_promises(run);
     REQUIRE(runs_of_leaver() == runs_at_limit);
@@ -184,7 +189,10 @@
                                          {{"Bth-Ticket", name.substr(0, name.find('+'))}});
         const auto reason = http::find_header(answer.headers, "Bth-Reason");
         refused += reason == "quarantined" ? 1 : 0;
-        answers.append(http::find_header(answer.headers, "Bth-Outcome")).append("/").append(reason).append(" ");
+        answers.append(http::find_header(answer.headers, "Bth-Outcome"))
+            .append("/")
+            .append(reason)
+            .append(" ");
     }
     // [THEN] Two upstreams crashed at most, and the rest was refused as not run
     const auto counts = boost::json::parse(system->call_upstreams("GET", "/control/counts").body);
--- /dev/null
+++ b/tests/processes/limits_tests.cpp
@@ -0,0 +1,105 @@
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "deployment.h"
+#include "http/http_types.h"
+
+using namespace buckthornhill;
+using buckthornhill::testing::deployment;
+
+namespace {
+//! Sends raw bytes and returns what came back until the server closed the connection.
+std::string exchange_raw(const std::string& address, const std::string& bytes)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    const auto server = http::parse_endpoint(address);
+    socket.connect({boost::asio::ip::make_address(server.address), server.port});
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    std::string received;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), ignored);
+    return received;
+}
+
+std::unique_ptr<deployment> start_small()
+{
+    testing::deployment_options options;
+    options.file = std::string(EXAMPLES_DIR) + "/plisse/deployment.json";
+    options.daemon_flags = {"--heartbeat-ms=100", "--gone-after-ms=800", "--request-timeout-ms=400",
+                            "--max-body-bytes=2000"};
+    auto system = std::make_unique<deployment>(options);
+    system->register_instances();
+    REQUIRE(system->wait_until_ready());
+    return system;
+}
+} // namespace
+
+SCENARIO("callers that break the limits get a clear error", "[process]")
+{
+    const auto system = start_small();
+    const auto& entry = system->daemons()[0];
+    const auto address = entry.caller_address;
+    // [GIVEN] An instance [WHEN] a request has two lengths [THEN] it is refused as not executed
+    const auto two = exchange_raw(address, "POST /deposit-desk/a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+                                           "Content-Length: 5\r\n\r\nabcde");
+    REQUIRE(two.find("400 Bad Request") != std::string::npos);
+    REQUIRE(two.find("Bth-Outcome: not-executed") != std::string::npos);
+    // [WHEN] it has a length and chunks [THEN] it is refused
+    const auto both =
+        exchange_raw(address, "POST /deposit-desk/a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    REQUIRE(both.find("400 Bad Request") != std::string::npos);
+    // [WHEN] the body is too large [THEN] 413
+    const auto large =
+        exchange_raw(address, "POST /deposit-desk/a HTTP/1.1\r\nHost: x\r\nContent-Length: 3000\r\n\r\n" +
+                                  std::string(3000, 'x'));
+    REQUIRE(large.find("413 Payload Too Large") != std::string::npos);
+    // [WHEN] the headers are too large [THEN] 431
+    const auto headers = exchange_raw(
+        address, "GET /pattern-library/a HTTP/1.1\r\nHost: x\r\nA: " + std::string(20000, 'y') + "\r\n\r\n");
+    REQUIRE(headers.find("431 ") != std::string::npos);
+    // [WHEN] the sender is slow [THEN] 408 after the limit
+    const auto slow = exchange_raw(address, "GET /pattern-library/a HTT");
+    REQUIRE(slow.find("408 Request Timeout") != std::string::npos);
+    // [WHEN] it is not HTTP [THEN] 400
+    REQUIRE(exchange_raw(address, "hello\r\n\r\n").find("400 Bad Request") != std::string::npos);
+    // [WHEN] the service is unknown [THEN] it is refused as not executed
+    const auto unknown = system->call(address, "GET", "/no-such-service/a");
+    REQUIRE(unknown.status == 503);
+    REQUIRE(http::find_header(unknown.headers, "Bth-Reason") == "no-upstream");
+    // [WHEN] a ticket cannot be read, or was never issued [THEN] it is refused as not executed
+    const auto garbled = system->call(address, "POST", "/deposit-desk/a", "x", {{"Bth-Ticket", "12"}});
+    REQUIRE(garbled.status == 400);
+    REQUIRE(http::find_header(garbled.headers, "Bth-Outcome") == "not-executed");
+}
+
+SCENARIO("a caller cannot act as an instance", "[process]")
+{
+    // [GIVEN] A running deployment
+    const auto system = start_small();
+    const auto& entry = system->daemons()[0];
+    // [WHEN] A caller forges the headers that instances trust among themselves
+    const auto forged = system->call(entry.caller_address, "POST", "/deposit-desk/a", "x",
+                                     {{"Bth-Kind", "admit"},
+                                      {"Bth-From", "entry-1"},
+                                      {"Bth-Class", "within-quota"},
+                                      {"Bth-Peer-Key", "test-key"},
+                                      {"Order-Id", "forged"}});
+    // [THEN] They mean nothing: the request still needs a ticket, and it did not run
+    REQUIRE(forged.status == 428);
+    REQUIRE(system->execution_log().empty());
+    // [WHEN] Somebody without the key speaks to the peer listener [THEN] it is refused
+    REQUIRE(system->call(entry.peer_address, "POST", "/.peer/heartbeat", "{}").status == 403);
+    REQUIRE(system->call(entry.peer_address, "POST", "/.peer/heartbeat", "{}", {{"Bth-Peer-Key", "test-kez"}})
+                .status == 403);
+    // [WHEN] A peer with the key sends a message that does not follow the protocol [THEN] the place is named
+    const auto wrong =
+        system->call(entry.peer_address, "POST", "/.peer/heartbeat", "{}", {{"Bth-Peer-Key", "test-key"}});
+    REQUIRE(wrong.status == 400);
+    REQUIRE(wrong.body.find("heartbeat.members") != std::string::npos);
+}
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -49,6 +49,37 @@
 }
 } // namespace
 
+finished_process run_to_end(const std::vector<std::string>& command,
+                            const std::map<std::string, std::string>& environment)
+{
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+        throw std::runtime_error("pipe failed");
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+    auto arguments = command;
+    auto variables = environment_with(environment);
+    pid_t process = -1;
+    posix_spawn(&process, command.front().c_str(), &actions, nullptr, pointers_to(arguments).data(),
+                pointers_to(variables).data());
+    posix_spawn_file_actions_destroy(&actions);
+    close(ends[1]);
+    finished_process finished;
+    char block[4096];
+    for (auto size = read(ends[0], block, sizeof block); size > 0;
+         size = read(ends[0], block, sizeof block)) {
+        finished.output.append(block, static_cast<std::size_t>(size));
+    }
+    close(ends[0]);
+    int status = 0;
+    waitpid(process, &status, 0);
+    finished.exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    return finished;
+}
+
 child_process::child_process(const std::vector<std::string>& command,
                              const std::map<std::string, std::string>& environment,
                              const std::string& log_file)
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -7,6 +7,16 @@
 #include <sys/types.h>
 
 namespace buckthornhill::testing {
+struct finished_process
+{
+    int exit_code = 0;
+    std::string output; //!< standard output and standard error
+};
+
+//! Runs a program to its end.
+finished_process run_to_end(const std::vector<std::string>& command,
+                            const std::map<std::string, std::string>& environment);
+
 //! A process that a test started. Ended with SIGKILL when the object goes.
 class child_process
 {
--- a/tests/support/demo_main.cpp
+++ b/tests/support/demo_main.cpp
@@ -18,7 +18,16 @@
     return text.str();
 }
 
-int run_demo(const std::string& folder, double rate)
+//! Leaves the deployment running for the operators' tool until a line is typed or the input ends.
+void stay(const buckthornhill::testing::deployment& system)
+{
+    std::cout << "The store is at " << system.store_address() << ". Try: build/bin/buckthornhillctl --store "
+              << system.store_address() << " status\nPress Enter to stop." << std::endl;
+    std::string line;
+    std::getline(std::cin, line);
+}
+
+int run_demo(const std::string& folder, double rate, bool stays)
 {
     using namespace buckthornhill;
     testing::deployment system({folder + "/deployment.json", {}, 2000, 2000, false});
@@ -40,19 +49,23 @@
         doubled += runs > 1 ? 1 : 0;
     }
     std::cout << "\nRequests that ran more than once: " << doubled << "\n";
+    if (stays) {
+        stay(system);
+    }
     return report.total().wrong_answers == 0 && report.total().done > 0 ? 0 : 1;
 }
 } // namespace
 
-//! Usage: bth-demo EXAMPLE_FOLDER [requests a second of each stream].
+//! Usage: bth-demo EXAMPLE_FOLDER [requests a second of each stream] [stay].
 int main(int argc, char** argv)
 {
     if (argc < 2) {
-        std::cerr << "usage: bth-demo EXAMPLE_FOLDER [requests a second of each stream]\n";
+        std::cerr << "usage: bth-demo EXAMPLE_FOLDER [requests a second of each stream] [stay]\n";
         return 2;
     }
     try {
-        return run_demo(argv[1], argc > 2 ? std::atof(argv[2]) : default_rate);
+        return run_demo(argv[1], argc > 2 ? std::atof(argv[2]) : default_rate,
+                        argc > 3 && std::string(argv[3]) == "stay");
     } catch (const std::exception& failure) {
         std::cerr << "bth-demo: " << failure.what() << "\n";
         return 1;
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -10,7 +10,7 @@
 #include <boost/json.hpp>
 
 #include "global/json_reader.h"
-#include "http/http_client.h"
+#include "http/blocking_call.h"
 
 namespace buckthornhill::testing {
 namespace json = boost::json;
@@ -125,6 +125,20 @@
     return this->call(this->store_at, "PUT", "/v1/objects/" + name, body, {{"If-Match", version}}).status;
 }
 
+finished_process deployment::run_tool(const std::vector<std::string>& words)
+{
+    std::vector<std::string> command{program("buckthornhillctl")};
+    command.insert(command.end(), words.begin(), words.end());
+    return run_to_end(command, {{"BTH_STORE", this->store_at}, {"BTH_BY", "test"}});
+}
+
+std::string deployment::write_file(const std::string& name, const std::string& text)
+{
+    const auto path = this->directory + "/" + name;
+    std::ofstream(path) << text;
+    return path;
+}
+
 void deployment::set_store_faults(const std::string& faults)
 {
     this->call(this->store_at, "POST", "/control/faults", faults);
@@ -134,19 +148,10 @@
                                      const std::string& target, const std::string& body,
                                      const http::header_list& headers)
 {
-    boost::asio::io_context context;
-    http::http_client client(context, http::client_limits{});
-    http::http_response response;
-    response.status = 0;
-    client.send(http::parse_endpoint(address), {method, target, headers, body},
-                std::chrono::steady_clock::now() + call_timeout, http::connection_choice::fresh,
-                [&](http::call_result result) {
-                    if (result.status == http::call_status::complete) {
-                        response = std::move(result.response);
-                    }
-                    context.stop();
-                });
-    context.run();
+    const auto result =
+        http::call_and_wait(http::parse_endpoint(address), {method, target, headers, body}, call_timeout);
+    http::http_response response = result.response;
+    response.status = result.status == http::call_status::complete ? response.status : 0;
     return response;
 }
 
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -50,6 +50,10 @@
     void register_instances();
     //! Writes a document as an operator would; returns the HTTP status.
     unsigned put_document(const std::string& name, const std::string& body);
+    //! Runs the operators' tool against this deployment as the operator `test`.
+    finished_process run_tool(const std::vector<std::string>& words);
+    //! Writes `text` to a file that goes with the deployment; returns its path.
+    std::string write_file(const std::string& name, const std::string& text);
     void set_store_faults(const std::string& faults);
     http::http_response call(const std::string& address, const std::string& method, const std::string& target,
                              const std::string& body = "", const http::header_list& headers = {});
