--- a/src/daemon/daemon_configuration.cpp
+++ b/src/daemon/daemon_configuration.cpp
@@ -39,6 +39,9 @@
     {"slow-start-ms", "ramp of a new or returned upstream, in milliseconds", 2000, 0, 600000},
     {"heartbeat-ms", "interval between heartbeats, in milliseconds", 500, 20, 10000},
     {"gone-after-ms", "silence after which a peer counts as gone, in milliseconds", 3000, 100, 60000},
+    {"heartbeat-targets", "peers that a round of heartbeats goes to, inside the failure domain and outside each", 8,
+     1, 64},
+    {"gossip-records", "members described in one heartbeat", 64, 2, 2000},
     {"lookup-ttl-ms", "lifetime of a look-up answer, in milliseconds", 2000, 100, 60000},
     {"linger-ms", "time a leaving instance goes on forwarding, in milliseconds", 4000, 0, 600000},
     {"default-deadline-ms", "deadline of a request that names none, in milliseconds", 5000, 10, 600000},
@@ -233,6 +236,9 @@
     node.admission.ramp_time = reader.milliseconds("slow-start-ms");
     node.membership.heartbeat_interval = reader.milliseconds("heartbeat-ms");
     node.membership.gone_timeout = reader.milliseconds("gone-after-ms");
+    node.membership.domain_targets = static_cast<std::size_t>(reader.number("heartbeat-targets"));
+    node.membership.random_targets = node.membership.domain_targets;
+    node.membership.max_gossip_records = static_cast<std::size_t>(reader.number("gossip-records"));
     node.lookup_ttl = reader.milliseconds("lookup-ttl-ms");
     node.leave_linger = reader.milliseconds("linger-ms");
     node.freeze_threshold = node.membership.gone_timeout / 2;
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -95,12 +95,9 @@
     return member.record.description.domain == this->own.description.domain;
 }
 
-duration member_table::timeout_of(const entry& member) const
+duration member_table::gone_timeout() const
 {
-    if (this->is_domain_peer(member)) {
-        return this->configuration.gone_timeout;
-    }
-    //! NOTE News of a distant member comes through gossip in rotation, so its silence means less.
+    //! NOTE News of most members comes through gossip in rotation, so silence means less in a large system.
     const auto rounds =
         this->members.size() / std::max<std::size_t>(1, this->configuration.max_gossip_records);
     return this->configuration.gone_timeout + this->configuration.heartbeat_interval * rounds;
@@ -112,7 +109,7 @@
     for (auto& [id, member] : this->members) {
         const auto state = member.record.state;
         const bool is_present = is_running(state);
-        if (!is_present || now - member.heard_at <= this->timeout_of(member)) {
+        if (!is_present || now - member.heard_at <= this->gone_timeout()) {
             continue;
         }
         member.record.state = member_state::gone;
@@ -172,25 +169,32 @@
     }
 }
 
+void member_table::append_random(std::vector<instance_id>& from, std::size_t count, std::vector<instance_id>& to)
+{
+    const auto wanted = std::min(count, from.size());
+    for (std::size_t i = 0; i < wanted; ++i) {
+        std::swap(from[i], from[i + this->random() % (from.size() - i)]);
+        to.push_back(from[i]);
+    }
+}
+
 std::vector<instance_id> member_table::pick_targets()
 {
-    std::vector<instance_id> targets;
+    std::vector<instance_id> near;
     std::vector<instance_id> distant;
     std::vector<instance_id> silent;
     for (const auto& [id, member] : this->members) {
         if (member.record.state == member_state::gone) {
             silent.push_back(id);
         } else if (this->is_domain_peer(member)) {
-            targets.push_back(id);
+            near.push_back(id);
         } else {
             distant.push_back(id);
         }
     }
-    const auto wanted = std::min(this->configuration.random_targets, distant.size());
-    for (std::size_t i = 0; i < wanted; ++i) {
-        std::swap(distant[i], distant[i + this->random() % (distant.size() - i)]);
-        targets.push_back(distant[i]);
-    }
+    std::vector<instance_id> targets;
+    this->append_random(near, this->configuration.domain_targets, targets);
+    this->append_random(distant, this->configuration.random_targets, targets);
     if (!silent.empty()) {
         //! NOTE One try a round finds a member again once a cut between regions has healed.
         targets.push_back(silent[this->random() % silent.size()]);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -47,7 +47,8 @@
 private:
     bool merge_one(time_point now, const member_record& record);
     void append_rotation(gossip& records);
-    duration timeout_of(const entry& member) const;
+    void append_random(std::vector<instance_id>& from, std::size_t count, std::vector<instance_id>& to);
+    duration gone_timeout() const;
     bool is_domain_peer(const entry& member) const;
 
     member_record own;
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -1,8 +1,11 @@
 #include "node_world.h"
 
+#include <boost/json.hpp>
+
 #include "lists/list_codec.h"
 
 namespace buckthornhill::node::testing {
+namespace json = boost::json;
 using membership::member_state;
 using requests::outcome;
 using std::chrono::milliseconds;
@@ -35,10 +38,10 @@
     ownership::upstream_description description;
     struct execution
     {
-        std::size_t index;
-        std::uint64_t incarnation;
+        std::size_t index = 0;
+        std::uint64_t incarnation = 0;
         flow_id flow;
-        std::uint64_t attempt;
+        std::uint64_t attempt = 0;
         std::shared_ptr<bool> settled;
     };
     std::map<std::uint64_t, execution> running;
@@ -234,6 +237,34 @@
     });
 }
 
+void node_world::check_execution(const instance& slot, const fake_upstream& upstream, const std::string& order)
+{
+    const auto id = upstream.description.id.str();
+    ++this->verdict.counts["runs"];
+    const bool is_late = upstream.is_leaving && this->now - upstream.leaving_since > leave_grace;
+    if (is_late && this->now >= slot.frozen_until) {
+        this->fault("upstream " + id + " is leaving and got new work");
+    }
+    if (upstream.description.region != slot.description.region) {
+        ++this->verdict.counts["runs by an owner in another region"];
+    }
+    if (order.starts_with("once-")) {
+        if (++this->runs[order] > 1) {
+            this->fault("order " + order + " ran twice");
+        }
+        if (this->told_not_executed.contains(order)) {
+            this->fault("order " + order + " ran after its caller was told that it was not run");
+        }
+    }
+    if (order.starts_with("poison-")) {
+        auto& crashed = this->poison_crashes[order];
+        crashed.insert(id);
+        if (crashed.size() > 2) {
+            this->fault("one request crashed more than two upstreams");
+        }
+    }
+}
+
 void node_world::arrive_at_upstream(std::size_t index, std::uint64_t incarnation,
                                     const start_upstream_action& action, const std::shared_ptr<bool>& settled)
 {
@@ -267,29 +298,7 @@
     }
     auto& slot = *this->instances[index];
     const auto order = slot.order_of_flow[action.flow.value()];
-    ++this->verdict.counts["runs"];
-    const bool is_late = upstream.is_leaving && this->now - upstream.leaving_since > leave_grace;
-    if (is_late && this->now >= slot.frozen_until) {
-        this->fault("upstream " + action.upstream.str() + " is leaving and got new work");
-    }
-    if (upstream.description.region != slot.description.region) {
-        ++this->verdict.counts["runs by an owner in another region"];
-    }
-    if (order.starts_with("once-")) {
-        if (++this->runs[order] > 1) {
-            this->fault("order " + order + " ran twice");
-        }
-        if (this->told_not_executed.contains(order)) {
-            this->fault("order " + order + " ran after its caller was told that it was not run");
-        }
-    }
-    if (order.starts_with("poison-")) {
-        auto& crashed = this->poison_crashes[order];
-        crashed.insert(action.upstream.str());
-        if (crashed.size() > 2) {
-            this->fault("one request crashed more than two upstreams");
-        }
-    }
+    this->check_execution(slot, upstream, order);
     const auto execution = ++upstream.last_execution;
     upstream.running[execution] = {index, incarnation, action.flow, action.attempt, settled};
     if (order.starts_with("poison-")) {
@@ -491,25 +500,28 @@
 
 void node_world::publish_instances()
 {
-    std::string entries;
+    json::array entries;
     for (const auto& slot : this->instances) {
         const auto& self = slot->description;
-        entries += std::string(entries.empty() ? "" : ",") + R"({"id":")" + self.id.str() +
-                   R"(","region":")" + self.region.str() + R"(","domain":")" + self.domain.str() +
-                   R"(","peer_address":")" + self.peer_address + R"(","caller_address":")" +
-                   self.caller_address + "\"}";
+        entries.push_back({{"id", self.id.str()},
+                           {"region", self.region.str()},
+                           {"domain", self.domain.str()},
+                           {"peer_address", self.peer_address},
+                           {"caller_address", self.caller_address}});
     }
-    std::string list;
+    json::array list;
     for (const auto& [id, upstream] : this->upstreams) {
         const auto& description = upstream->description;
-        list += std::string(list.empty() ? "" : ",") + R"({"id":")" + id + R"(","service":")" +
-                description.service.str() + R"(","region":")" + description.region.str() + R"(","domain":")" +
-                description.domain.str() + R"(","address":")" + id + R"(","slots":)" +
-                std::to_string(description.slots.value()) + R"(,"state":")" +
-                (upstream->is_leaving ? "leaving" : "live") + "\"}";
+        list.push_back({{"id", id},
+                        {"service", description.service.str()},
+                        {"region", description.region.str()},
+                        {"domain", description.domain.str()},
+                        {"address", id},
+                        {"slots", description.slots.value()},
+                        {"state", upstream->is_leaving ? "leaving" : "live"}});
     }
     this->publish(lists::document_name::instances,
-                  "{\"entries\":[" + entries + "],\"upstreams\":[" + list + "]}");
+                  json::serialize(json::value{{"entries", std::move(entries)}, {"upstreams", std::move(list)}}));
 }
 
 void node_world::read_store(std::size_t index)
@@ -697,7 +709,7 @@
         auto* admission = slot.incarnation == 0 ? nullptr : slot.node->slices().admission.find(the_service);
         shifted[this->region_of(i)] += admission == nullptr ? 0 : admission->remote_in_flight();
     }
-    const auto region_slots = 2 * this->options.upstreams_per_domain * this->options.slots;
+    const auto region_slots = std::int64_t{2} * this->options.upstreams_per_domain * this->options.slots;
     const auto cap = static_cast<std::int64_t>(shift::shift_configuration{}.cap_fraction *
                                                static_cast<double>(region_slots));
     for (const auto& [region, in_flight] : shifted) {
--- a/src/node/tests/node_world.h
+++ b/src/node/tests/node_world.h
@@ -81,6 +81,7 @@
 
     void arrive_at_upstream(std::size_t index, std::uint64_t incarnation, const start_upstream_action& action,
                             const std::shared_ptr<bool>& settled);
+    void check_execution(const instance& slot, const fake_upstream& upstream, const std::string& order);
     void crash(fake_upstream& upstream);
     void new_order();
     void send_order(const std::shared_ptr<order>& order, std::size_t index);
--- a/tests/processes/failure_tests.cpp
+++ b/tests/processes/failure_tests.cpp
@@ -61,7 +61,7 @@
 {
     std::string text = run.report.table();
     for (const auto& [order, fault] : run.faults) {
-        text += order + " " + fault + "\n";
+        text.append(order).append(" ").append(fault).append("\n");
     }
     INFO(text);
     REQUIRE(run.faults.empty());
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -134,7 +134,7 @@
 
 std::string deployment::write_file(const std::string& name, const std::string& text)
 {
-    const auto path = this->directory + "/" + name;
+    auto path = this->directory + "/" + name;
     std::ofstream(path) << text;
     return path;
 }
--- /dev/null
+++ b/tools/bench/http_bench.cpp
@@ -0,0 +1,140 @@
+#include "http_bench.h"
+
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <unistd.h>
+
+#include "deployment.h"
+#include "http/http_client.h"
+#include "load_report.h"
+
+namespace buckthornhill::bench {
+namespace {
+using steady = std::chrono::steady_clock;
+
+constexpr int warm_requests = 2000;
+constexpr int measured_requests = 60000;
+constexpr int throughput_connections = 48;
+constexpr int half_load_connections = 4;
+constexpr int upstream_service_us = 300;
+constexpr std::chrono::seconds call_limit{5};
+
+struct loop_result
+{
+    double per_second = 0;
+    double p50_ms = 0;
+    double p99_ms = 0;
+    std::size_t failures = 0;
+};
+
+//! Processor time of a process so far, in seconds.
+double cpu_seconds(pid_t process)
+{
+    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
+    std::string text;
+    std::getline(file, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string skipped;
+    for (int i = 0; i < 11; ++i) {
+        fields >> skipped;
+    }
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+//! Sends `requests` requests over `connections` connections, each as soon as the one before is answered.
+loop_result run_closed_loop(const std::string& address, const std::string& target, int connections, int requests)
+{
+    boost::asio::io_context context;
+    http::http_client client(context, http::client_limits{});
+    const auto server = http::parse_endpoint(address);
+    std::vector<double> latencies;
+    loop_result result;
+    int sent = 0;
+    int answered = 0;
+    std::function<void()> next = [&] {
+        if (sent >= requests) {
+            return;
+        }
+        ++sent;
+        const auto started = steady::now();
+        client.send(server, {"GET", target + std::to_string(sent % 50), {}, ""}, started + call_limit,
+                    http::connection_choice::reuse, [&, started](const http::call_result& call) {
+                        const std::chrono::duration<double, std::milli> took = steady::now() - started;
+                        latencies.push_back(took.count());
+                        const bool is_good =
+                            call.status == http::call_status::complete && call.response.status == 200;
+                        result.failures += is_good ? 0 : 1;
+                        if (++answered == requests) {
+                            context.stop();
+                            return;
+                        }
+                        next();
+                    });
+    };
+    const auto start = steady::now();
+    for (int i = 0; i < connections; ++i) {
+        next();
+    }
+    context.run();
+    result.per_second = requests / std::chrono::duration<double>(steady::now() - start).count();
+    result.p50_ms = load::percentile(latencies, 0.5);
+    result.p99_ms = load::percentile(latencies, 0.99);
+    return result;
+}
+
+void print(const std::string& what, const loop_result& result)
+{
+    std::cout << what << ": " << result.per_second << " a second, p50 " << result.p50_ms << " ms, p99 "
+              << result.p99_ms << " ms, failures " << result.failures << "\n";
+}
+
+std::string first_upstream(testing::deployment& system)
+{
+    const auto list = boost::json::parse(system.call(system.store_address(), "GET", "/v1/instances").body);
+    return std::string(list.at("upstreams").as_array().front().at("address").as_string());
+}
+
+void measure_throughput(testing::deployment& system, const std::string& what, const std::string& target)
+{
+    const auto& daemon = system.daemons().front();
+    const auto before = cpu_seconds(daemon.process->pid());
+    const auto result = run_closed_loop(daemon.caller_address, target, throughput_connections, measured_requests);
+    const auto used = cpu_seconds(daemon.process->pid()) - before;
+    print(what, result);
+    std::cout << "  daemon's processor time " << used / measured_requests * 1e6 << " us each: "
+              << measured_requests / used << " a second on one core\n";
+}
+} // namespace
+
+void run_http_bench()
+{
+    testing::deployment system({std::string(BENCH_DIR) + "/deployment.json", {}, upstream_service_us, 0, false});
+    system.register_instances();
+    if (!system.wait_until_ready()) {
+        std::cerr << "the daemon did not become ready\n";
+        return;
+    }
+    const auto& daemon = system.daemons().front();
+    std::cout << "idle daemon: " << daemon.process->resident_kib() << " KiB resident\n";
+    run_closed_loop(daemon.caller_address, "/queuedesk/item/", half_load_connections, warm_requests);
+    const auto direct =
+        run_closed_loop(first_upstream(system), "/queuedesk/item/", half_load_connections, warm_requests * 5);
+    const auto through =
+        run_closed_loop(daemon.caller_address, "/queuedesk/item/", half_load_connections, warm_requests * 5);
+    print("upstream alone", direct);
+    print("through the owner", through);
+    std::cout << "added: p50 " << through.p50_ms - direct.p50_ms << " ms, p99 " << through.p99_ms - direct.p99_ms
+              << " ms\n";
+    measure_throughput(system, "small requests", "/queuedesk/item/");
+    measure_throughput(system, "look-ups", "/.buckthornhill/lookup?service=queuedesk&n=");
+    std::cout << "busy daemon: " << daemon.process->resident_kib() << " KiB resident\n";
+}
+} // namespace buckthornhill::bench
--- /dev/null
+++ b/tools/bench/main.cpp
@@ -0,0 +1,25 @@
+#include <cstring>
+#include <iostream>
+
+#include "decision_bench.h"
+#include "http_bench.h"
+#include "policy_bench.h"
+
+//! Usage: bth-bench decisions|sizes|http|policies.
+int main(int argc, char** argv)
+{
+    const char* what = argc > 1 ? argv[1] : "";
+    if (std::strcmp(what, "decisions") == 0) {
+        buckthornhill::bench::run_decision_bench();
+    } else if (std::strcmp(what, "sizes") == 0) {
+        buckthornhill::bench::run_size_bench();
+    } else if (std::strcmp(what, "http") == 0) {
+        buckthornhill::bench::run_http_bench();
+    } else if (std::strcmp(what, "policies") == 0) {
+        buckthornhill::bench::run_policy_bench();
+    } else {
+        std::cerr << "usage: bth-bench decisions|sizes|http|policies\n";
+        return 2;
+    }
+    return 0;
+}
