Choose the better of two owners at random and send reports with answers

Cause: entry instances herded. All of them took the cheapest owner by a report up to 500 ms old; equal costs went to the first by name. Ruled out: shorter heartbeats (bytes grow with the fleet), refusing earlier (moves the herd to the next owner).

--- a/src/daemon/protocol_headers.h
+++ b/src/daemon/protocol_headers.h
@@ -20,6 +20,7 @@
 inline constexpr std::string_view from = "Bth-From";
 inline constexpr std::string_view from_region = "Bth-From-Region";
 inline constexpr std::string_view request_class = "Bth-Class";
+inline constexpr std::string_view owner_report = "Bth-Owner-Report"; //!< JSON
 
 // From and to upstreams.
 inline constexpr std::string_view upstream_deadline_ms = "Upstream-Deadline-Ms";
--- a/src/daemon/request_translation.cpp
+++ b/src/daemon/request_translation.cpp
@@ -6,6 +6,7 @@
 
 #include "daemon/protocol_headers.h"
 #include "global/hash.h"
+#include "peers/heartbeat_codec.h"
 #include "requests/requests_errors.h"
 
 namespace buckthornhill::daemon {
@@ -256,6 +257,10 @@
         const auto reason = http::find_header(fields, headers::reason);
         result.reason =
             reason.empty() ? admission::refusal_reason::none : admission::parse_refusal_reason(reason);
+        const auto report = http::find_header(fields, headers::owner_report);
+        if (!report.empty()) {
+            result.report = peers::decode_service_report(report);
+        }
         result.tickets = block_in(http::find_header(fields, headers::tickets));
     } catch (const error&) {
         result.result = requests::outcome::unknown;
@@ -292,6 +297,9 @@
         add_header(response.headers, headers::retry_after_ms,
                    std::to_string(to_milliseconds(answer.retry_after)));
     }
+    if (answer.report) {
+        add_header(response.headers, headers::owner_report, peers::encode_service_report(*answer.report));
+    }
     if (answer.tickets.count > 0) {
         add_header(response.headers, headers::tickets, text_of(answer.tickets));
     }
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -169,7 +169,8 @@
     }
 }
 
-void member_table::append_random(std::vector<instance_id>& from, std::size_t count, std::vector<instance_id>& to)
+void member_table::append_random(std::vector<instance_id>& from, std::size_t count,
+                                 std::vector<instance_id>& to)
 {
     const auto wanted = std::min(count, from.size());
     for (std::size_t i = 0; i < wanted; ++i) {
--- a/src/node/node_types.h
+++ b/src/node/node_types.h
@@ -104,6 +104,7 @@
     duration retry_after{};
     requests::answer_ptr answer;
     requests::ticket_block tickets;
+    std::optional<admission::service_report> report; //!< on answers to a peer: the owner's state
 };
 
 struct heartbeat_action
@@ -160,6 +161,7 @@
     duration retry_after{};
     requests::answer_ptr answer;
     requests::ticket_block tickets;
+    std::optional<admission::service_report> report;
 };
 
 struct probe_result
--- a/src/node/request_coordinator.cpp
+++ b/src/node/request_coordinator.cpp
@@ -46,6 +46,7 @@
 
 void request_coordinator::on_caller_request(time_point now, const request_facts& facts)
 {
+    this->event_time = now;
     auto& flow = this->flows[facts.flow];
     flow.facts = facts;
     flow.priority = this->slices.usage.class_of(now, facts.customer, facts.service);
@@ -220,6 +221,7 @@
 void request_coordinator::on_forwarded_request(time_point now, const request_facts& facts,
                                                const forwarded_facts& forwarded)
 {
+    this->event_time = now;
     auto& flow = this->flows[facts.flow];
     flow.facts = facts;
     flow.is_forwarded = true;
@@ -322,6 +324,7 @@
 void request_coordinator::on_upstream_result(time_point now, flow_id id, std::uint64_t attempt,
                                              const upstream_result& result)
 {
+    this->event_time = now;
     auto* flow = this->find(id, attempt);
     if (flow == nullptr || flow->step != phase::at_upstream) {
         return;
@@ -441,10 +444,14 @@
 void request_coordinator::on_peer_result(time_point now, flow_id id, std::uint64_t attempt,
                                          const peer_result& result)
 {
+    this->event_time = now;
     auto* flow = this->find(id, attempt);
     if (flow == nullptr || flow->step != phase::at_peer) {
         return;
     }
+    if (result.report) {
+        this->slices.selector.on_answer_report(now, flow->owner, *result.report);
+    }
     if (flow->peer_kind == peer_request_kind::resend) {
         this->on_resend_result(*flow, result);
         return;
@@ -491,6 +498,7 @@
 
 void request_coordinator::on_cancelled(time_point now, flow_id id)
 {
+    this->event_time = now;
     const auto found = this->flows.find(id);
     if (found == this->flows.end()) {
         return;
@@ -527,12 +535,14 @@
 
 void request_coordinator::on_notes_spread(time_point now)
 {
+    this->event_time = now;
     this->release_held(now, true);
     this->handle_admission_events(now);
 }
 
 void request_coordinator::on_tick(time_point now)
 {
+    this->event_time = now;
     this->release_held(now, false);
     this->give_up_late_owners(now);
     this->handle_admission_events(now);
@@ -573,6 +583,11 @@
     if (!flow.facts.is_idempotent && !flow.is_forwarded && !this->slices.tickets.sealed()) {
         tickets = this->slices.tickets.issue(this->configuration.refusal_tickets);
     }
-    this->outbox.push_back(answer_action{flow.facts.flow, result, reason, retry_after, answer, tickets});
+    std::optional<admission::service_report> report;
+    if (auto* service = flow.is_forwarded ? this->slices.admission.find(flow.facts.service) : nullptr) {
+        report = service->report(this->event_time);
+    }
+    this->outbox.push_back(
+        answer_action{flow.facts.flow, result, reason, retry_after, answer, tickets, std::move(report)});
 }
 } // namespace buckthornhill::node
--- a/src/node/request_coordinator.h
+++ b/src/node/request_coordinator.h
@@ -102,6 +102,7 @@
     std::set<flow_id> held;
     std::multimap<time_point, std::pair<flow_id, std::uint64_t>> late_checks; //!< flow and attempt
     bool is_admitting = false;
+    time_point event_time{}; //!< of the event that is being handled
     std::vector<quarantine::crash_note> fresh_notes;
 };
 } // namespace buckthornhill::node
--- a/src/node/tests/node_world.cpp
+++ b/src/node/tests/node_world.cpp
@@ -237,7 +237,8 @@
     });
 }
 
-void node_world::check_execution(const instance& slot, const fake_upstream& upstream, const std::string& order)
+void node_world::check_execution(const instance& slot, const fake_upstream& upstream,
+                                 const std::string& order)
 {
     const auto id = upstream.description.id.str();
     ++this->verdict.counts["runs"];
@@ -353,7 +354,7 @@
         });
     };
     this->at(action.deadline, [report] {
-        report({attempt_status::timed_out, outcome::unknown, {}, {}, nullptr, {}});
+        report({attempt_status::timed_out, outcome::unknown, {}, {}, nullptr, {}, {}});
     });
     if (this->is_cut(index, target)) {
         return;
@@ -361,7 +362,7 @@
     this->after_delay([this, index, target, action, report, order, from, from_region] {
         auto& peer = *this->instances[target];
         if (peer.incarnation == 0) {
-            report({attempt_status::connect_failed, outcome::unknown, {}, {}, nullptr, {}});
+            report({attempt_status::connect_failed, outcome::unknown, {}, {}, nullptr, {}, {}});
             return;
         }
         this->on_instance(target, peer.incarnation, [=, this] {
@@ -380,7 +381,7 @@
                 }
                 this->after_delay([report, answer] {
                     report({attempt_status::complete, answer.result, answer.reason, answer.retry_after,
-                            answer.answer, answer.tickets});
+                            answer.answer, answer.tickets, answer.report});
                 });
             };
             if (action.kind == peer_request_kind::resend) {
@@ -520,8 +521,9 @@
                         {"slots", description.slots.value()},
                         {"state", upstream->is_leaving ? "leaving" : "live"}});
     }
-    this->publish(lists::document_name::instances,
-                  json::serialize(json::value{{"entries", std::move(entries)}, {"upstreams", std::move(list)}}));
+    this->publish(
+        lists::document_name::instances,
+        json::serialize(json::value{{"entries", std::move(entries)}, {"upstreams", std::move(list)}}));
 }
 
 void node_world::read_store(std::size_t index)
--- a/src/peers/heartbeat_codec.cpp
+++ b/src/peers/heartbeat_codec.cpp
@@ -266,6 +266,19 @@
     return with_layer_errors([&] { return read_heartbeat(body); });
 }
 
+std::string encode_service_report(const admission::service_report& report)
+{
+    return json::serialize(encode_report(report));
+}
+
+admission::service_report decode_service_report(std::string_view text)
+{
+    return with_layer_errors([&] {
+        const auto value = parse_json(text, "report");
+        return decode_report(json_reader(value, "report"));
+    });
+}
+
 std::string encode_handover(const requests::ticket_handover& handover)
 {
     json::array ended;
--- a/src/peers/heartbeat_codec.h
+++ b/src/peers/heartbeat_codec.h
@@ -10,6 +10,10 @@
 //! Throws `peers_error` that names the place of a fault.
 heartbeat decode_heartbeat(std::string_view body);
 
+//! The report alone, as it travels with an answer.
+std::string encode_service_report(const admission::service_report& report);
+admission::service_report decode_service_report(std::string_view text);
+
 std::string encode_handover(const requests::ticket_handover& handover);
 requests::ticket_handover decode_handover(std::string_view body);
 } // namespace buckthornhill::peers
--- a/src/steering/owner_selector.cpp
+++ b/src/steering/owner_selector.cpp
@@ -8,10 +8,12 @@
 constexpr std::int64_t min_wanted_credits = 1;
 } // namespace
 
-owner_selector::owner_selector(instance_id own_id, place where, const steering_configuration& settings)
+owner_selector::owner_selector(instance_id own_id, place where, const steering_configuration& settings,
+                               random_hook source)
     : self(std::move(own_id))
     , own_place(std::move(where))
     , configuration(settings)
+    , random(std::move(source))
 {
 }
 
@@ -27,6 +29,17 @@
     state.is_full = false;
 }
 
+void owner_selector::on_answer_report(time_point now, const instance_id& owner,
+                                      const admission::service_report& report)
+{
+    const auto service = this->services.find(report.service);
+    if (service == this->services.end() || !service->second.owners.contains(owner)) {
+        return;
+    }
+    const auto& known = service->second.owners.at(owner);
+    this->on_report(now, owner, known.where, report, known.credits);
+}
+
 void owner_selector::forget(const instance_id& owner)
 {
     for (auto& [service, state] : this->services) {
@@ -142,12 +155,28 @@
     }
 }
 
+const instance_id*
+owner_selector::draw(const std::vector<std::pair<const instance_id*, std::int64_t>>& candidates) const
+{
+    std::int64_t total = 0;
+    for (const auto& [id, weight] : candidates) {
+        total += weight;
+    }
+    auto ticket = static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(total));
+    for (const auto& [id, weight] : candidates) {
+        ticket -= weight;
+        if (ticket < 0) {
+            return id;
+        }
+    }
+    return candidates.back().first;
+}
+
 const instance_id* owner_selector::best_local(time_point now, const service_state& service,
                                               const instance_id& preferred,
                                               const std::set<instance_id>& tried) const
 {
-    const instance_id* best = nullptr;
-    auto best_cost = duration::max();
+    std::vector<std::pair<const instance_id*, std::int64_t>> candidates;
     for (const auto& [id, owner] : service.owners) {
         const bool is_usable = this->is_local(owner) && owner.report.limit > 0 && this->is_fresh(now, owner);
         if (!is_usable || tried.contains(id)) {
@@ -156,13 +185,27 @@
         if (id == preferred && this->has_room(owner)) {
             return &id;
         }
-        const auto cost = this->wait_at(owner) + this->distance_to(id, owner);
-        if (best == nullptr || cost < best_cost) {
-            best = &id;
-            best_cost = cost;
-        }
+        candidates.emplace_back(&id, owner.report.limit);
     }
-    return best;
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    //! NOTE The better of two at random: the reports are old, and the best of all would draw a herd.
+    const auto* first = this->draw(candidates);
+    const auto* second = this->draw(candidates);
+    return this->cost_of(*second, service.owners.at(*second)) <
+                   this->cost_of(*first, service.owners.at(*first))
+               ? second
+               : first;
+}
+
+duration owner_selector::cost_of(const instance_id& id, const owner_state& owner) const
+{
+    //! NOTE Below its limit an owner costs by its load, so that load evens out before anything waits.
+    const auto load = static_cast<double>(this->in_use(owner)) / static_cast<double>(owner.report.limit);
+    const std::chrono::duration<double, std::micro> mean(static_cast<double>(owner.report.mean_service_us));
+    return this->wait_at(owner) + this->distance_to(id, owner) +
+           std::chrono::duration_cast<duration>(mean * load);
 }
 
 const instance_id* owner_selector::best_remote(time_point now, const service_state& service,
--- a/src/steering/owner_selector.h
+++ b/src/steering/owner_selector.h
@@ -10,10 +10,13 @@
 class owner_selector
 {
 public:
-    owner_selector(instance_id self, place own_place, const steering_configuration& configuration);
+    owner_selector(instance_id self, place own_place, const steering_configuration& configuration,
+                   random_hook random);
 
     void on_report(time_point now, const instance_id& owner, const place& where,
                    const admission::service_report& report, std::int64_t credits);
+    //! The owner's state as it came with an answer; the credits of its last report stay.
+    void on_answer_report(time_point now, const instance_id& owner, const admission::service_report& report);
     void forget(const instance_id& owner);
     void on_sent(const instance_id& owner, const service_id& service);
     void on_returned(const instance_id& owner, const service_id& service);
@@ -52,18 +55,22 @@
     duration distance_to(const instance_id& id, const owner_state& owner) const;
     std::int64_t in_use(const owner_state& owner) const;
     bool has_room(const owner_state& owner) const;
+    duration cost_of(const instance_id& id, const owner_state& owner) const;
     duration wait_at(const owner_state& owner) const;
     duration local_wait(time_point now, const service_state& service) const;
     double local_utilization(const service_state& service) const;
     void update_shift(time_point now, service_state& service) const;
     const instance_id* best_local(time_point now, const service_state& service, const instance_id& preferred,
                                   const std::set<instance_id>& tried) const;
+    //! One of `candidates`, with a chance in proportion to its slots.
+    const instance_id* draw(const std::vector<std::pair<const instance_id*, std::int64_t>>& candidates) const;
     const instance_id* best_remote(time_point now, const service_state& service,
                                    const std::set<instance_id>& tried) const;
 
     instance_id self;
     place own_place;
     steering_configuration configuration;
+    random_hook random;
     std::map<service_id, service_state> services;
 };
 } // namespace buckthornhill::steering
--- a/tools/bench/decision_bench.cpp
+++ b/tools/bench/decision_bench.cpp
@@ -63,9 +63,10 @@
     std::string list;
     for (std::size_t i = 0; i < upstreams; ++i) {
         const auto number = std::to_string(i);
-        list += std::string(list.empty() ? "" : ",") + R"({"id":"upstream-)" + number +
-                R"(","service":"queuedesk","region":"region-0","domain":"domain-0","address":"10.0.0.2:80",)" +
-                R"("slots":5,"state":"live"})";
+        list +=
+            std::string(list.empty() ? "" : ",") + R"({"id":"upstream-)" + number +
+            R"(","service":"queuedesk","region":"region-0","domain":"domain-0","address":"10.0.0.2:80",)" +
+            R"("slots":5,"state":"live"})";
     }
     return R"({"entries":[],"upstreams":[)" + list + "]}";
 }
@@ -106,8 +107,8 @@
     const auto per_round = static_cast<double>(targets) / heartbeat_rounds;
     const auto size = static_cast<double>(bytes) / heartbeat_rounds;
     std::cout << "members " << members << ": heartbeat " << size << " bytes, " << each_us
-              << " us to make, send as JSON, read and merge; targets a round " << per_round << "; memory " << memory_kib
-              << " KiB\n";
+              << " us to make, send as JSON, read and merge; targets a round " << per_round << "; memory "
+              << memory_kib << " KiB\n";
 }
 
 void measure_ownership(std::size_t members)
@@ -127,14 +128,16 @@
     ownership::owner_map owners;
     const auto start = steady::now();
     owners.rebuild(all, upstreams);
-    std::cout << "members " << members << ": owners of 340 upstreams in " << seconds_since(start) * 1e3 << " ms\n";
+    std::cout << "members " << members << ": owners of 340 upstreams in " << seconds_since(start) * 1e3
+              << " ms\n";
 }
 
 void measure_lists(std::size_t customers)
 {
     std::string list;
     for (std::size_t i = 0; i < customers; ++i) {
-        list += std::string(i == 0 ? "" : ",") + R"({"name":"customer-)" + std::to_string(i) + R"(","plan":"gold"})";
+        list += std::string(i == 0 ? "" : ",") + R"({"name":"customer-)" + std::to_string(i) +
+                R"(","plan":"gold"})";
     }
     const std::string body = R"({"plans":["gold"],"customers":[)" + list + "]}";
     const auto before_kib = resident_kib();
--- a/tools/bench/http_bench.cpp
+++ b/tools/bench/http_bench.cpp
@@ -50,7 +50,8 @@
 }
 
 //! Sends `requests` requests over `connections` connections, each as soon as the one before is answered.
-loop_result run_closed_loop(const std::string& address, const std::string& target, int connections, int requests)
+loop_result run_closed_loop(const std::string& address, const std::string& target, int connections,
+                            int requests)
 {
     boost::asio::io_context context;
     http::http_client client(context, http::client_limits{});
@@ -106,17 +107,19 @@
 {
     const auto& daemon = system.daemons().front();
     const auto before = cpu_seconds(daemon.process->pid());
-    const auto result = run_closed_loop(daemon.caller_address, target, throughput_connections, measured_requests);
+    const auto result =
+        run_closed_loop(daemon.caller_address, target, throughput_connections, measured_requests);
     const auto used = cpu_seconds(daemon.process->pid()) - before;
     print(what, result);
-    std::cout << "  daemon's processor time " << used / measured_requests * 1e6 << " us each: "
-              << measured_requests / used << " a second on one core\n";
+    std::cout << "  daemon's processor time " << used / measured_requests * 1e6
+              << " us each: " << measured_requests / used << " a second on one core\n";
 }
 } // namespace
 
 void run_http_bench()
 {
-    testing::deployment system({std::string(BENCH_DIR) + "/deployment.json", {}, upstream_service_us, 0, false});
+    testing::deployment system(
+        {std::string(BENCH_DIR) + "/deployment.json", {}, upstream_service_us, 0, false});
     system.register_instances();
     if (!system.wait_until_ready()) {
         std::cerr << "the daemon did not become ready\n";
@@ -131,8 +134,8 @@
         run_closed_loop(daemon.caller_address, "/queuedesk/item/", half_load_connections, warm_requests * 5);
     print("upstream alone", direct);
     print("through the owner", through);
-    std::cout << "added: p50 " << through.p50_ms - direct.p50_ms << " ms, p99 " << through.p99_ms - direct.p99_ms
-              << " ms\n";
+    std::cout << "added: p50 " << through.p50_ms - direct.p50_ms << " ms, p99 "
+              << through.p99_ms - direct.p99_ms << " ms\n";
     measure_throughput(system, "small requests", "/queuedesk/item/");
     measure_throughput(system, "look-ups", "/.buckthornhill/lookup?service=queuedesk&n=");
     std::cout << "busy daemon: " << daemon.process->resident_kib() << " KiB resident\n";
--- a/tools/bench/policy_bench.cpp
+++ b/tools/bench/policy_bench.cpp
@@ -87,7 +87,8 @@
 };
 
 //! Chooses an upstream from loads that are up to one report interval old.
-using baseline_policy = std::function<int(int entry, const std::vector<std::int64_t>& reported, std::mt19937_64&)>;
+using baseline_policy =
+    std::function<int(int entry, const std::vector<std::int64_t>& reported, std::mt19937_64&)>;
 
 outcome_counts run_baseline(const arrival_trace& trace, const baseline_policy& choose)
 {
@@ -97,7 +98,8 @@
     std::vector<std::int64_t> reported(upstream_count, 0);
     outcome_counts counts;
     time_point next_report{};
-    std::function<void(const arrival_trace::arrival&, int)> send = [&](const arrival_trace::arrival& item, int tries) {
+    std::function<void(const arrival_trace::arrival&, int)> send = [&](const arrival_trace::arrival& item,
+                                                                       int tries) {
         if (events.now >= next_report) {
             reported = in_use;
             next_report = events.now + report_interval;
@@ -132,14 +134,16 @@
 class owner_run
 {
 public:
-    explicit owner_run(const arrival_trace& arrivals_trace) : trace(arrivals_trace), random(5)
+    explicit owner_run(const arrival_trace& arrivals_trace)
+        : trace(arrivals_trace)
+        , random(5)
     {
         const auto source = [this] { return this->random(); };
         for (int i = 0; i < entry_count; ++i) {
             this->owners.push_back(std::make_unique<admission::service_admission>(
                 the_service, admission::admission_configuration{}, source));
             this->selectors.emplace_back(name_of(i), steering::place{region_id("r"), domain_of(i)},
-                                         steering::steering_configuration{});
+                                         steering::steering_configuration{}, source);
         }
         for (int i = 0; i < upstream_count; ++i) {
             ownership::upstream_description upstream;
@@ -179,7 +183,8 @@
         for (int owner = 0; owner < entry_count; ++owner) {
             const auto report = this->owners[static_cast<std::size_t>(owner)]->report(this->events.now);
             for (auto& selector : this->selectors) {
-                selector.on_report(this->events.now, name_of(owner), {region_id("r"), domain_of(owner)}, report, 0);
+                selector.on_report(this->events.now, name_of(owner), {region_id("r"), domain_of(owner)},
+                                   report, 0);
             }
         }
     }
@@ -197,7 +202,8 @@
         state.owner = static_cast<std::size_t>(std::stoi(choice.owner.str().substr(1)));
         selector.on_sent(choice.owner, the_service);
         const bool is_own = static_cast<int>(state.owner) == this->item_of(flow).entry;
-        this->events.at(this->events.now + (is_own ? milliseconds(0) : hop), [this, flow] { this->offer(flow); });
+        this->events.at(this->events.now + (is_own ? milliseconds(0) : hop),
+                        [this, flow] { this->offer(flow); });
     }
 
     void offer(flow_id flow)
@@ -244,8 +250,13 @@
             selector.on_returned(name_of(static_cast<int>(owner_index)), the_service);
             const bool is_own = static_cast<int>(owner_index) == this->item_of(flow).entry;
             const auto back = is_own ? milliseconds(0) : hop;
-            const std::chrono::duration<double, std::milli> took = this->events.now + back - this->item_of(flow).at;
+            const std::chrono::duration<double, std::milli> took =
+                this->events.now + back - this->item_of(flow).at;
             this->counts.latencies_ms.push_back(took.count());
+            if (!is_own) {
+                selector.on_answer_report(this->events.now, name_of(static_cast<int>(owner_index)),
+                                          owner.report(this->events.now));
+            }
             owner.on_finish(this->events.now, flow, admission::attempt_result::completed);
             for (const auto& event : owner.take_events()) {
                 this->handle(event.flow, event.decision);
@@ -266,10 +277,10 @@
 
 void print(const std::string& name, const outcome_counts& counts)
 {
-    std::cout << "  " << std::left << std::setw(34) << name << std::right << " overload events " << std::setw(7)
-              << counts.sheds << ", refused " << std::setw(6) << counts.refused << ", p50 " << std::fixed
-              << std::setprecision(1) << load::percentile(counts.latencies_ms, 0.5) << " ms, p99 "
-              << load::percentile(counts.latencies_ms, 0.99) << " ms\n";
+    std::cout << "  " << std::left << std::setw(34) << name << std::right << " overload events "
+              << std::setw(7) << counts.sheds << ", refused " << std::setw(6) << counts.refused << ", p50 "
+              << std::fixed << std::setprecision(1) << load::percentile(counts.latencies_ms, 0.5)
+              << " ms, p99 " << load::percentile(counts.latencies_ms, 0.99) << " ms\n";
 }
 
 baseline_policy round_robin()
