--- a/src/daemon/daemon_configuration.cpp
+++ b/src/daemon/daemon_configuration.cpp
@@ -41,7 +41,7 @@
     {"gone-after-ms", "silence after which a peer counts as gone, in milliseconds", 3000, 100, 60000},
     {"heartbeat-targets",
      "peers that a round of heartbeats goes to, inside the failure domain and outside each", 8, 1, 64},
-    {"gossip-records", "members described in one heartbeat", 64, 2, 2000},
+    {"gossip-records", "members described in one heartbeat", 6, 2, 2000},
     {"lookup-ttl-ms", "lifetime of a look-up answer, in milliseconds", 2000, 100, 60000},
     {"linger-ms", "time a leaving instance goes on forwarding, in milliseconds", 4000, 0, 600000},
     {"default-deadline-ms", "deadline of a request that names none, in milliseconds", 5000, 10, 600000},
--- /dev/null
+++ b/src/daemon/tests/settings_tests.cpp
@@ -0,0 +1,64 @@
+#include <cstdlib>
+
+#include <catch2/catch.hpp>
+
+#include "daemon/daemon_configuration.h"
+#include "daemon/daemon_errors.h"
+
+using namespace buckthornhill::daemon;
+
+namespace {
+const std::vector<std::string> good{"buckthornhilld", "--id=e", "--region=r", "--domain=d",
+                                    "--store=127.0.0.1:1"};
+
+parsed_settings parse(std::vector<std::string> words)
+{
+    setenv("BTH_PEER_KEY", "secret-key", 1);
+    std::vector<const char*> arguments;
+    arguments.reserve(words.size());
+    for (const auto& word : words) {
+        arguments.push_back(word.c_str());
+    }
+    return parse_settings(static_cast<int>(arguments.size()), arguments.data());
+}
+
+std::string fault_of(const std::vector<std::string>& added)
+{
+    auto words = good;
+    words.insert(words.end(), added.begin(), added.end());
+    try {
+        parse(words);
+    } catch (const settings_error& failure) {
+        return failure.what();
+    }
+    return "no fault";
+}
+} // namespace
+
+SCENARIO("wrong settings are listed together, each with its bounds", "[daemon]")
+{
+    const auto text =
+        fault_of({"--link-mbit=-1", "--weigh=fast", "--lookup-ttl-ms=9000", "--seed-peers=nowhere"});
+    REQUIRE(text.find("4 wrong setting(s)") != std::string::npos);
+    REQUIRE(text.find("--link-mbit: -1 is not from 0.1 to 1e+06") != std::string::npos);
+    REQUIRE(text.find("--weigh: 'fast' is none of headroom, latency") != std::string::npos);
+    REQUIRE(text.find("--linger-ms: must be at least --lookup-ttl-ms") != std::string::npos);
+    REQUIRE(text.find("--seed-peers: endpoint 'nowhere'") != std::string::npos);
+    REQUIRE(fault_of({"--gone-after-ms=600"}).find("three times --heartbeat-ms") != std::string::npos);
+    REQUIRE(fault_of({"--no-such-flag=1"}).find("unrecognised option") != std::string::npos);
+    REQUIRE(fault_of({"--heartbeat=100"}).find("unrecognised option") != std::string::npos);
+    REQUIRE(fault_of({"--heartbeat-ms=soon"}).find("heartbeat-ms") != std::string::npos);
+}
+
+SCENARIO("settings come from flags, then from the environment, and secrets are not printed", "[daemon]")
+{
+    setenv("BTH_LINK_MBIT", "4000", 1);
+    auto words = good;
+    words.emplace_back("--print-settings");
+    const auto from_environment = parse(words);
+    REQUIRE(from_environment.text.find("link-mbit = 4000") != std::string::npos);
+    REQUIRE(from_environment.text.find("secret-key") == std::string::npos);
+    words.emplace_back("--link-mbit=100");
+    REQUIRE(parse(words).text.find("link-mbit = 100") != std::string::npos);
+    unsetenv("BTH_LINK_MBIT");
+}
--- /dev/null
+++ b/src/membership/tests/membership_tests.cpp
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+
+#include <set>
+
+#include "membership/member_table.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::membership;
+using std::chrono::milliseconds;
+
+namespace {
+const time_point start = time_point{} + std::chrono::hours(1);
+
+member_description describe(const std::string& name, std::uint64_t incarnation)
+{
+    return {instance_id(name), incarnation_id(incarnation), region_id("r"), domain_id("d"), name + ":1",
+            name + ":2"};
+}
+
+member_table make_table(membership_configuration configuration = {})
+{
+    return {describe("self", 1), configuration, [n = std::uint64_t{0}]() mutable { return n++; }};
+}
+} // namespace
+
+SCENARIO("a silent member is gone, and comes back with a higher sequence", "[membership]")
+{
+    // [GIVEN] A live member
+    auto table = make_table();
+    table.set_state(member_state::live);
+    REQUIRE(table.merge(start, {{describe("a", 7), member_state::live, 10}}));
+    REQUIRE(table.live_members().size() == 2);
+    // [WHEN] It is silent for longer than the timeout [THEN] it is gone
+    REQUIRE_FALSE(table.on_tick(start + milliseconds(3000)));
+    REQUIRE(table.on_tick(start + milliseconds(3001)));
+    REQUIRE(table.live_members().size() == 1);
+    // [WHEN] Old news of it arrives [THEN] nothing changes
+    REQUIRE_FALSE(table.merge(start + milliseconds(3100), {{describe("a", 7), member_state::live, 10}}));
+    // [WHEN] It is heard of again [THEN] it is live again
+    REQUIRE(table.merge(start + milliseconds(3200), {{describe("a", 7), member_state::live, 11}}));
+    REQUIRE(table.find_incarnation(incarnation_id(7)) != nullptr);
+    // [WHEN] A later run of it is heard of [THEN] the earlier one cannot be reached any more
+    table.merge(start + milliseconds(3300), {{describe("a", 8), member_state::live, 1}});
+    REQUIRE(table.find_incarnation(incarnation_id(7)) == nullptr);
+    REQUIRE_FALSE(table.merge(start + milliseconds(3400), {{describe("a", 7), member_state::live, 99}}));
+}
+
+SCENARIO("heartbeats stay within their bounds in a large system", "[membership]")
+{
+    // [GIVEN] 500 members and small bounds
+    membership_configuration configuration;
+    configuration.max_gossip_records = 10;
+    configuration.domain_targets = 3;
+    configuration.random_targets = 2;
+    auto table = make_table(configuration);
+    gossip all;
+    for (int i = 0; i < 500; ++i) {
+        all.push_back({describe("m" + std::to_string(i), 7), member_state::live, 1});
+    }
+    table.merge(start, all);
+    // [WHEN] Many rounds pass [THEN] none is larger than the bounds, and all members have their turn
+    std::set<instance_id> told;
+    for (int round = 0; round < 80; ++round) {
+        REQUIRE(table.pick_targets().size() <= 5);
+        const auto records = table.next_gossip();
+        REQUIRE(records.size() <= 10);
+        for (const auto& record : records) {
+            told.insert(record.description.id);
+        }
+    }
+    REQUIRE(told.size() > 1);
+}
--- a/src/node/request_coordinator.h
+++ b/src/node/request_coordinator.h
@@ -58,7 +58,7 @@
         upstream_id avoid;
         std::set<instance_id> tried;
         int upstream_tries = 0;
-        admission::refusal_reason last_reason = admission::refusal_reason::overloaded;
+        admission::refusal_reason last_reason = admission::refusal_reason::no_upstream;
         duration last_retry_after = std::chrono::milliseconds(250);
         time_point held_until;
         std::vector<flow_id> joined;
--- /dev/null
+++ b/src/requests/tests/requests_tests.cpp
@@ -0,0 +1,105 @@
+#include <catch2/catch.hpp>
+
+#include "requests/handover_store.h"
+#include "requests/requests_errors.h"
+#include "requests/retry_budget.h"
+#include "requests/ticket_book.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::requests;
+using admission::refusal_reason;
+
+namespace {
+requests_configuration small_window()
+{
+    requests_configuration configuration;
+    configuration.ticket_window = 8;
+    configuration.max_kept_outcomes = 3;
+    configuration.max_kept_answer_bytes = 100;
+    return configuration;
+}
+
+answer_ptr answer_of(std::size_t bytes)
+{
+    answer_ptr answer(new answer_record);
+    answer->body.assign(bytes, 'x');
+    return answer;
+}
+} // namespace
+
+SCENARIO("a ticket starts once, whatever is forgotten", "[requests]")
+{
+    // [GIVEN] A book with a window of 8 tickets and 3 kept outcomes
+    ticket_book book(incarnation_id(5), small_window());
+    book.issue(4);
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        REQUIRE(book.check(ticket_number(number)) == ticket_verdict::fresh);
+        book.start(ticket_number(number), flow_id(number));
+        REQUIRE(book.check(ticket_number(number)) == ticket_verdict::running);
+        book.end(ticket_number(number), outcome::done, refusal_reason::none, answer_of(60));
+    }
+    // [WHEN] More ended than are kept [THEN] the oldest outcome is forgotten and may not start again
+    REQUIRE(book.check(ticket_number(1)) == ticket_verdict::forgotten);
+    REQUIRE(book.check(ticket_number(4)) == ticket_verdict::ended);
+    // [THEN] Answers beyond the bytes are dropped, their outcomes stay
+    REQUIRE(book.find_ended(ticket_number(3))->answer == nullptr);
+    REQUIRE(book.find_ended(ticket_number(4))->answer != nullptr);
+    // [WHEN] The window moves on over a running ticket and over unused ones
+    book.issue(2);
+    book.start(ticket_number(5), flow_id(5));
+    book.issue(20);
+    // [THEN] The running one is still known, and the unused one is refused as possibly run
+    REQUIRE(book.check(ticket_number(5)) == ticket_verdict::running);
+    REQUIRE(book.check(ticket_number(6)) == ticket_verdict::forgotten);
+    REQUIRE(book.check(ticket_number(26)) == ticket_verdict::fresh);
+    REQUIRE(book.check(ticket_number(27)) == ticket_verdict::never_issued);
+    REQUIRE(book.check(ticket_number(0)) == ticket_verdict::never_issued);
+}
+
+SCENARIO("a handover answers for a stopped incarnation", "[requests]")
+{
+    // [GIVEN] A sealed book with a done, a refused, an unfinished and an unused ticket
+    ticket_book book(incarnation_id(5), small_window());
+    book.issue(4);
+    book.start(ticket_number(1), flow_id(1));
+    book.end(ticket_number(1), outcome::done, refusal_reason::none, nullptr);
+    book.start(ticket_number(2), flow_id(2));
+    book.end(ticket_number(2), outcome::not_executed, refusal_reason::overloaded, nullptr);
+    book.start(ticket_number(3), flow_id(3));
+    book.seal();
+    // [WHEN] A peer takes the handover
+    handover_store store(2);
+    store.accept(book.make_handover());
+    // [THEN] It answers what is known, and only what was never started is not executed
+    const auto result = [&](std::uint64_t number) {
+        return store.outcome_of({incarnation_id(5), ticket_number(number)});
+    };
+    REQUIRE(result(1) == outcome::done);
+    REQUIRE(result(2) == outcome::not_executed);
+    REQUIRE(result(3) == outcome::unknown);
+    REQUIRE(result(4) == outcome::not_executed);
+    REQUIRE(result(5) == outcome::unknown);
+    REQUIRE(store.outcome_of({incarnation_id(6), ticket_number(1)}) == outcome::unknown);
+}
+
+SCENARIO("retries are bounded to a part of first attempts", "[requests]")
+{
+    // [GIVEN] A budget of a tenth with a burst of 2 [WHEN] 100 first attempts each want a retry
+    retry_budget budget(0.1, 2);
+    int retries = 0;
+    for (int i = 0; i < 100; ++i) {
+        budget.on_first_attempt();
+        retries += budget.try_spend() ? 1 : 0;
+    }
+    // [THEN] A tenth and the burst get one
+    REQUIRE(retries >= 11);
+    REQUIRE(retries <= 12);
+}
+
+SCENARIO("tickets are read strictly", "[requests]")
+{
+    REQUIRE(parse_ticket("7.9") == ticket{incarnation_id(7), ticket_number(9)});
+    for (const auto* wrong : {"", "7", "7.", ".9", "7.9x", "-7.9", "7.99999999999999999999999"}) {
+        REQUIRE_THROWS_AS(parse_ticket(wrong), requests_error);
+    }
+}
--- a/tools/bench/decision_bench.cpp
+++ b/tools/bench/decision_bench.cpp
@@ -79,10 +79,13 @@
     return node;
 }
 
-void measure_gossip(std::size_t members)
+void measure_gossip(std::size_t members, std::size_t records, std::size_t target_bound)
 {
     const auto before_kib = resident_kib();
     membership::membership_configuration settings;
+    settings.max_gossip_records = records;
+    settings.domain_targets = target_bound;
+    settings.random_targets = target_bound;
     membership::member_table table(describe(0), settings, make_random());
     const auto now = steady::now();
     membership::gossip all;
@@ -106,9 +109,9 @@
     const auto each_us = seconds_since(start) * 1e6 / heartbeat_rounds;
     const auto per_round = static_cast<double>(targets) / heartbeat_rounds;
     const auto size = static_cast<double>(bytes) / heartbeat_rounds;
-    std::cout << "members " << members << ": heartbeat " << size << " bytes, " << each_us
-              << " us to make, send as JSON, read and merge; targets a round " << per_round << "; memory "
-              << memory_kib << " KiB\n";
+    std::cout << "members " << members << ", " << records << " records: heartbeat " << size << " bytes, "
+              << each_us << " us to make, send as JSON, read and merge; targets a round " << per_round
+              << "; memory " << memory_kib << " KiB\n";
 }
 
 void measure_ownership(std::size_t members)
@@ -202,7 +205,8 @@
 void run_size_bench()
 {
     for (const auto members : member_sizes) {
-        measure_gossip(members);
+        measure_gossip(members, 64, 8);
+        measure_gossip(members, 6, 2);
     }
     for (const auto members : member_sizes) {
         measure_ownership(members);
--- a/tools/bench/http_bench.cpp
+++ b/tools/bench/http_bench.cpp
@@ -1,17 +1,15 @@
 #include "http_bench.h"
 
-#include <fstream>
 #include <functional>
 #include <iostream>
-#include <sstream>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
-#include <unistd.h>
 
 #include "deployment.h"
 #include "http/http_client.h"
 #include "load_report.h"
+#include "process_usage.h"
 
 namespace buckthornhill::bench {
 namespace {
@@ -32,23 +30,6 @@
     std::size_t failures = 0;
 };
 
-//! Processor time of a process so far, in seconds.
-double cpu_seconds(pid_t process)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
-    std::string text;
-    std::getline(file, text);
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string skipped;
-    for (int i = 0; i < 11; ++i) {
-        fields >> skipped;
-    }
-    double user = 0;
-    double system = 0;
-    fields >> user >> system;
-    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 //! Sends `requests` requests over `connections` connections, each as soon as the one before is answered.
 loop_result run_closed_loop(const std::string& address, const std::string& target, int connections,
                             int requests)
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -1,11 +1,12 @@
 #include <cstring>
 #include <iostream>
 
+#include "control_bench.h"
 #include "decision_bench.h"
 #include "http_bench.h"
 #include "policy_bench.h"
 
-//! Usage: bth-bench decisions|sizes|http|policies.
+//! Usage: bth-bench decisions|sizes|http|policies|control.
 int main(int argc, char** argv)
 {
     const char* what = argc > 1 ? argv[1] : "";
@@ -17,8 +18,10 @@
         buckthornhill::bench::run_http_bench();
     } else if (std::strcmp(what, "policies") == 0) {
         buckthornhill::bench::run_policy_bench();
+    } else if (std::strcmp(what, "control") == 0) {
+        buckthornhill::bench::run_control_bench();
     } else {
-        std::cerr << "usage: bth-bench decisions|sizes|http|policies\n";
+        std::cerr << "usage: bth-bench decisions|sizes|http|policies|control\n";
         return 2;
     }
     return 0;
