--- a/src/admission/admission_types.h
+++ b/src/admission/admission_types.h
@@ -31,7 +31,8 @@
     ticket_invalid,
     leaving,
     upstream_shed,
-    upstream_unreachable
+    upstream_unreachable,
+    link_full          //!< the owner's share of the link to the caller's region is used up
 };
 
 std::string_view to_string(refusal_reason reason);
--- a/src/admission/service_admission.cpp
+++ b/src/admission/service_admission.cpp
@@ -365,13 +365,14 @@
                                                  "ticket-invalid",
                                                  "leaving",
                                                  "upstream-shed",
-                                                 "upstream-unreachable"};
+                                                 "upstream-unreachable",
+                                                 "link-full"};
     return names[static_cast<std::size_t>(reason)];
 }
 
 refusal_reason parse_refusal_reason(std::string_view text)
 {
-    for (int value = 0; value <= static_cast<int>(refusal_reason::upstream_unreachable); ++value) {
+    for (int value = 0; value <= static_cast<int>(refusal_reason::link_full); ++value) {
         const auto reason = static_cast<refusal_reason>(value);
         if (to_string(reason) == text) {
             return reason;
--- a/src/daemon/request_translation.cpp
+++ b/src/daemon/request_translation.cpp
@@ -165,6 +165,7 @@
         number_in(http::find_header(request.headers, headers::deadline_ms), limits.default_deadline.count());
     const auto granted = std::min<std::int64_t>(asked, limits.max_deadline.count());
     facts.deadline = now + std::chrono::milliseconds(granted);
+    facts.body_size = byte_count(request.body.size());
     facts.affinity = hash_text(request.target);
     facts.print = fingerprint(hash_text(request.body, hash_text(request.method, facts.affinity)));
     const auto name = http::find_header(request.headers, headers::ticket);
--- a/src/daemon/tests/settings_tests.cpp
+++ b/src/daemon/tests/settings_tests.cpp
@@ -11,7 +11,7 @@
 const std::vector<std::string> good{"buckthornhilld", "--id=e", "--region=r", "--domain=d",
                                     "--store=127.0.0.1:1"};
 
-parsed_settings parse(std::vector<std::string> words)
+parsed_settings parse(const std::vector<std::string>& words)
 {
     setenv("BTH_PEER_KEY", "secret-key", 1);
     std::vector<const char*> arguments;
--- a/src/membership/membership_types.h
+++ b/src/membership/membership_types.h
@@ -42,8 +42,8 @@
 {
     std::chrono::milliseconds heartbeat_interval{500};
     std::chrono::milliseconds gone_timeout{3000};
-    std::size_t domain_targets = 8;      //!< peers of the failure domain that each round goes to
-    std::size_t random_targets = 8;      //!< peers outside the failure domain that each round goes to
+    std::size_t domain_targets = 8;     //!< peers of the failure domain that each round goes to
+    std::size_t random_targets = 8;     //!< peers outside the failure domain that each round goes to
     std::size_t max_gossip_records = 6; //!< in one heartbeat
 };
 } // namespace buckthornhill::membership
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -183,6 +183,7 @@
         if (member.record.state == member_state::gone) {
             this->state.selector.forget(id);
             this->ejected_elsewhere.erase(id);
+            this->last_exchange.erase(id);
         }
     }
     this->rebuild_shares(now);
@@ -299,6 +300,18 @@
     }
 }
 
+std::vector<instance_id> entry_node::due_targets(time_point now)
+{
+    //! NOTE An exchange tells both sides everything, so one of the two may leave its own out.
+    auto targets = this->state.members.pick_targets();
+    std::erase_if(targets, [&](const instance_id& id) {
+        const auto found = this->last_exchange.find(id);
+        return found != this->last_exchange.end() &&
+               now - found->second < this->configuration.membership.heartbeat_interval / 2;
+    });
+    return targets;
+}
+
 std::vector<instance_id> entry_node::all_members() const
 {
     std::vector<instance_id> ids;
@@ -364,6 +377,7 @@
 void entry_node::absorb(time_point now, const peers::heartbeat& message)
 {
     const auto& sender = message.members.front().description;
+    this->last_exchange[sender.id] = now;
     const bool has_changed = this->state.members.merge(now, message.members);
     this->absorb_reports(now, message);
     if (sender.region == this->state.members.self().description.region) {
@@ -568,12 +582,15 @@
     if (now < this->next_heartbeat || this->leave_step == leave_phase::stopped) {
         return;
     }
-    this->next_heartbeat = now + this->configuration.membership.heartbeat_interval;
+    const auto interval =
+        std::chrono::duration_cast<duration>(this->configuration.membership.heartbeat_interval);
+    //! NOTE Jitter keeps the rounds of different instances apart.
+    this->next_heartbeat = now + interval - interval / 8 + interval / 1024 * (this->random() % 256);
     for (auto& [service, admission] : this->state.admission.services()) {
         admission.grant_credits(now);
     }
     this->notes_to_send = this->some_notes();
-    this->send_heartbeats(now, this->state.members.pick_targets());
+    this->send_heartbeats(now, this->due_targets(now));
     this->notes_to_send.clear();
 }
 } // namespace buckthornhill::node
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -70,6 +70,8 @@
     void absorb_reports(time_point now, const peers::heartbeat& message);
     peers::heartbeat make_heartbeat(time_point now, const instance_id& receiver, membership::gossip gossip);
     void send_heartbeats(time_point now, const std::vector<instance_id>& targets);
+    //! Targets of this round that did not exchange heartbeats with this instance just now.
+    std::vector<instance_id> due_targets(time_point now);
     std::vector<instance_id> all_members() const;
     //! Crash notes for one heartbeat; those beyond its bound take turns.
     std::vector<quarantine::crash_note> some_notes();
@@ -87,6 +89,7 @@
     ticket_stock stock;
     std::map<instance_id, std::map<service_id, std::int64_t>> ejected_elsewhere;
     std::set<instance_id> ticket_askers;
+    std::map<instance_id, time_point> last_exchange; //!< last heartbeat, or answer to one, from each peer
     std::vector<quarantine::crash_note> notes_to_send;
     std::set<instance_id> notes_awaited; //!< peers that have not confirmed the last crash notes
     std::uint64_t notes_round = 0;
--- a/src/node/node_types.h
+++ b/src/node/node_types.h
@@ -52,6 +52,7 @@
     time_point deadline;
     fingerprint print;
     std::uint64_t affinity = 0;
+    byte_count body_size;
     std::optional<requests::ticket> name; //!< absent on a non-idempotent request without one
     bool is_forwarded_resend = false;     //!< a peer sent it here because of its ticket; not forwarded again
 };
--- a/src/node/request_coordinator.cpp
+++ b/src/node/request_coordinator.cpp
@@ -230,6 +230,12 @@
     const bool is_shifted = !facts.client_region.empty() && facts.client_region != this->region;
     flow.origin = is_other_region || is_shifted ? request_origin::remote : request_origin::local;
     flow.from = is_other_region ? forwarded.from : instance_id{};
+    flow.from_region = forwarded.from_region;
+    if (is_other_region && !this->slices.shift.link_has_room(now, flow.from_region)) {
+        this->finish(facts.flow, outcome::not_executed, refusal_reason::link_full, std::chrono::milliseconds(250),
+                     nullptr);
+        return;
+    }
     if (!this->is_admitting) {
         this->finish(facts.flow, outcome::not_executed, refusal_reason::resynchronizing, {}, nullptr);
         return;
@@ -565,6 +571,10 @@
     if (flow.has_ticket) {
         this->slices.tickets.end(flow.facts.name->number, result, reason, answer);
     }
+    if (flow.is_forwarded && flow.from_region != this->region) {
+        const auto moved = flow.facts.body_size.value() + (answer ? answer->size() : 0);
+        this->slices.shift.on_bytes(this->event_time, flow.from_region, byte_count(moved));
+    }
     this->emit_answer(flow, result, reason, retry_after, answer);
     for (const auto joined : flow.joined) {
         if (this->flows.contains(joined)) {
--- a/src/node/tests/trace_replay.cpp
+++ b/src/node/tests/trace_replay.cpp
@@ -95,6 +95,7 @@
         facts.deadline = this->now + milliseconds(line.integer_or("deadline_ms", 1000));
         facts.print = fingerprint(static_cast<std::uint64_t>(line.integer_or("print", line.integer("flow"))));
         facts.affinity = facts.print.value();
+        facts.body_size = byte_count(static_cast<std::uint64_t>(line.integer_or("bytes", 0)));
         if (line.has("ticket")) {
             facts.name = requests::parse_ticket(line.text("ticket"));
         }
