--- a/src/daemon/request_engine.cpp
+++ b/src/daemon/request_engine.cpp
@@ -16,6 +16,7 @@
 namespace {
 constexpr std::string_view log_part = "requests";
 constexpr std::chrono::milliseconds tick_interval{20};
+constexpr std::uint64_t ticks_between_gauges = 50;
 constexpr std::chrono::milliseconds peer_message_timeout{1000};
 constexpr std::chrono::milliseconds probe_timeout{1000};
 constexpr std::size_t max_idle_connections = 256;
@@ -112,6 +113,9 @@
         }
         this->node->on_tick(now());
         this->run_actions();
+        if (++this->ticks % ticks_between_gauges == 0) {
+            this->update_gauges();
+        }
         if (this->node->is_stopped() && !this->is_stopped) {
             this->is_stopped = true;
             this->callers->stop_accepting();
@@ -122,6 +126,25 @@
     });
 }
 
+void request_engine::update_gauges()
+{
+    const auto time = now();
+    auto& slices = this->node->slices();
+    for (const auto& report : slices.admission.reports(time)) {
+        const auto set = [&](const char* kind, std::int64_t value) {
+            this->metrics.set_gauge(kind, report.service, static_cast<double>(value));
+        };
+        set("owned", report.slots);
+        set("usable", report.limit);
+        set("in_use", report.in_flight);
+        set("queued", report.queued);
+        set("headroom", report.limit - report.in_flight);
+        set("spare_for_other_regions", report.spare);
+        set("used_by_other_regions", slices.admission.find(report.service)->remote_in_flight());
+        set("shift_cap", slices.shift.cap(time, report.service));
+    }
+}
+
 void request_engine::on_caller(const http::exchange_ptr& exchange)
 {
     const auto path = http::path_of(exchange->request().target);
@@ -368,7 +391,7 @@
         http::parse_endpoint(action.address), std::move(request), now() + peer_message_timeout,
         http::connection_choice::reuse, [this, peer = action.peer](const http::call_result& result) {
             if (result.status == http::call_status::connect_failed) {
-                this->node->on_peer_unreachable(peer);
+                this->node->on_peer_unreachable(now(), peer);
             }
             if (result.status != http::call_status::complete || result.response.status != 200) {
                 return;
@@ -392,11 +415,10 @@
     this->client->send(http::parse_endpoint(action.address), std::move(request), now() + peer_message_timeout,
                        http::connection_choice::reuse,
                        [this, name = action.name](const http::call_result& result) {
-                           const auto version = http::find_header(result.response.headers, "X-Version");
-                           if (result.status == http::call_status::complete && !version.empty()) {
-                               const object_version number(std::stoull(std::string(version)));
+                           const auto version = platform::version_in(result.response);
+                           if (result.status == http::call_status::complete && version > object_version{}) {
                                this->on_platform_event({platform::platform_event::event_kind::document, name,
-                                                        number, result.response.body});
+                                                        version, result.response.body});
                            }
                        });
 }
--- a/src/daemon/request_engine.h
+++ b/src/daemon/request_engine.h
@@ -69,6 +69,7 @@
     void run(const node::handover_action& action);
     void record_answer(const flow_io& flow, const node::answer_action& action);
     void schedule_tick();
+    void update_gauges();
     void ask_seed_peers();
     http::http_request peer_message(std::string_view path, std::string body) const;
 
@@ -84,6 +85,7 @@
     std::unique_ptr<node::entry_node> node;
     std::unordered_map<flow_id, flow_io> flows;
     flow_id last_flow;
+    std::uint64_t ticks = 0;
     bool is_stopped = false;
 };
 } // namespace buckthornhill::daemon
--- a/src/daemon/status_report.cpp
+++ b/src/daemon/status_report.cpp
@@ -44,10 +44,22 @@
     return services;
 }
 
-json::array describe_drains(const drain::slowdown_gate& gate)
+//! Requests that still run at upstreams owned here that the mark covers.
+std::int64_t running_under(const lists::drain_mark& mark, const node::node_slices& slices)
+{
+    std::int64_t running = 0;
+    for (const auto& [service, admission] : slices.admission.services()) {
+        for (const auto& [id, upstream] : admission.upstreams()) {
+            running += drain::covers(mark, upstream.description()) ? upstream.in_flight() : 0;
+        }
+    }
+    return running;
+}
+
+json::array describe_drains(const node::node_slices& slices)
 {
     json::array drains;
-    for (const auto& decision : gate.decisions()) {
+    for (const auto& decision : slices.gate.decisions()) {
         json::array due;
         for (const auto& call : decision.due) {
             due.push_back({{"customer", call.customer.str()},
@@ -61,6 +73,7 @@
                           {"kind", lists::to_string(decision.mark.kind)},
                           {"target", decision.mark.target},
                           {"state", decision.is_released ? "in-effect" : "waiting-for-calls"},
+                          {"running", running_under(decision.mark, slices)},
                           {"notifications_due", std::move(due)}});
     }
     return drains;
@@ -122,7 +135,7 @@
     report["members"] = std::move(members);
     report["services"] = describe_services(slices, now);
     report["upstreams"] = describe_upstreams(slices, now);
-    report["drains"] = describe_drains(slices.gate);
+    report["drains"] = describe_drains(slices);
     report["burn"] = describe_burn(burn, now);
     report["suspected_requests"] = slices.crashes.size();
     return json::serialize(report);
--- /dev/null
+++ b/src/node/entry_lookup.cpp
@@ -0,0 +1,100 @@
+#include "node/entry_lookup.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace buckthornhill::node {
+namespace {
+constexpr std::uint64_t refill_divisor = 4; //!< a stock below this part of a block asks for the next one
+}
+
+entry_lookup::entry_lookup(node_slices& shared, const node_configuration& settings, random_hook source)
+    : slices(shared)
+    , configuration(settings)
+    , random(std::move(source))
+{
+}
+
+void entry_lookup::set_reachable(const instance_id& peer, bool value)
+{
+    if (value) {
+        this->unreachable.erase(peer);
+    } else {
+        this->unreachable.insert(peer);
+    }
+}
+
+void entry_lookup::on_lent_tickets(const instance_id& lender, const requests::ticket_block& block)
+{
+    this->stock.add(lender, block);
+}
+
+bool entry_lookup::needs_tickets_of(const instance_id& lender) const
+{
+    return this->stock.is_low(lender, this->configuration.peer_tickets / refill_divisor);
+}
+
+std::vector<membership::member_description> entry_lookup::reachable_members() const
+{
+    auto members = this->slices.members.live_members();
+    const auto is_unreachable = [this](const membership::member_description& member) {
+        return !this->is_reachable(member.id);
+    };
+    const auto reachable = std::count_if(members.begin(), members.end(), std::not_fn(is_unreachable));
+    //! NOTE When nobody but this instance seems to be left, the fault is likelier here.
+    if (reachable > 1 || members.size() <= 2) {
+        std::erase_if(members, is_unreachable);
+    }
+    return members;
+}
+
+void entry_lookup::shuffle(std::vector<membership::member_description>& members)
+{
+    for (std::size_t i = members.size(); i > 1; --i) {
+        std::swap(members[i - 1], members[this->random() % i]);
+    }
+}
+
+std::vector<membership::member_description> entry_lookup::ordered_members(const region_id& region)
+{
+    std::vector<membership::member_description> near;
+    std::vector<membership::member_description> far;
+    for (auto& member : this->reachable_members()) {
+        (member.region == region ? near : far).push_back(std::move(member));
+    }
+    this->shuffle(near);
+    this->shuffle(far);
+    //! NOTE Places are kept for other regions: the whole near region may be lost before the next look-up.
+    const auto far_places = std::min(far.size(), this->configuration.lookup_far_entries);
+    near.resize(std::min(near.size(), this->configuration.lookup_entries - far_places));
+    far.resize(std::min(far.size(), this->configuration.lookup_entries - near.size()));
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+requests::ticket_block entry_lookup::tickets_of(const membership::member_description& member,
+                                                std::uint64_t count)
+{
+    if (member.id != this->slices.members.self().description.id) {
+        return this->stock.take(member.id, member.incarnation, count);
+    }
+    return this->slices.tickets.sealed() ? requests::ticket_block{} : this->slices.tickets.issue(count);
+}
+
+lookup_answer entry_lookup::answer(const service_id& service, const region_id& client_region,
+                                   std::uint64_t tickets)
+{
+    const auto& own_region = this->slices.members.self().description.region;
+    const auto members = this->ordered_members(client_region.empty() ? own_region : client_region);
+    lookup_answer answer;
+    answer.ttl = this->configuration.lookup_ttl;
+    for (const auto& member : members) {
+        answer.entries.push_back({member.id, member.region, member.caller_address});
+    }
+    const auto granted = std::min(tickets, this->configuration.max_lookup_tickets);
+    if (!members.empty() && granted > 0 && this->slices.directory.knows(service)) {
+        answer.tickets = this->tickets_of(members.front(), granted);
+    }
+    return answer;
+}
+} // namespace buckthornhill::node
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -1,13 +1,11 @@
 #include "node/entry_node.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace buckthornhill::node {
 using membership::member_state;
 
 namespace {
-constexpr std::size_t max_notes_in_heartbeat = 64;
 constexpr std::chrono::milliseconds handover_retry_interval{500};
 constexpr std::chrono::seconds handover_give_up{5};
 } // namespace
@@ -18,6 +16,8 @@
     , random(std::move(source))
     , state(self, this->configuration, this->random)
     , coordinator(this->state, this->configuration, self.id, self.region, this->outbox)
+    , lookup(this->state, this->configuration, this->random)
+    , note_spread(this->state.crashes)
 {
 }
 
@@ -256,7 +256,6 @@
     message.versions = this->state.lists.versions();
     message.reports = this->state.admission.reports(now);
     message.handovers = this->state.handovers.incarnations();
-    message.crash_notes = this->notes_to_send;
     message.leaving = {this->state.health.leaving().begin(), this->state.health.leaving().end()};
     message.round = this->heartbeat_round;
     const auto* peer = this->state.members.find(receiver);
@@ -280,7 +279,7 @@
     }
     if (is_same_region) {
         message.usage = this->state.usage.own_usage();
-        message.wants_tickets = this->stock.is_low(receiver, this->configuration.peer_tickets / 4);
+        message.wants_tickets = this->lookup.needs_tickets_of(receiver);
     }
     if (this->ticket_askers.erase(receiver) > 0 && !this->state.tickets.sealed()) {
         message.tickets = this->state.tickets.issue(this->configuration.peer_tickets);
@@ -288,15 +287,18 @@
     return message;
 }
 
-void entry_node::send_heartbeats(time_point now, const std::vector<instance_id>& targets)
+void entry_node::send_heartbeats(time_point now, const std::vector<instance_id>& targets,
+                                 const std::vector<quarantine::crash_note>& notes)
 {
     const auto gossip = this->state.members.next_gossip();
     ++this->heartbeat_round;
     for (const auto& target : targets) {
         const auto* member = this->state.members.find(target);
         if (member != nullptr) {
-            this->outbox.push_back(heartbeat_action{target, member->record.description.peer_address,
-                                                    this->make_heartbeat(now, target, gossip)});
+            auto message = this->make_heartbeat(now, target, gossip);
+            message.crash_notes = notes;
+            this->outbox.push_back(
+                heartbeat_action{target, member->record.description.peer_address, std::move(message)});
         }
     }
 }
@@ -313,11 +315,13 @@
     return targets;
 }
 
-std::vector<instance_id> entry_node::all_members() const
+std::vector<instance_id> entry_node::running_peers() const
 {
     std::vector<instance_id> ids;
     for (const auto& [id, member] : this->state.members.all()) {
-        if (member.record.state != member_state::gone) {
+        const auto state = member.record.state;
+        const bool is_running = state != member_state::gone && state != member_state::seeded;
+        if (is_running && this->lookup.is_reachable(id)) {
             ids.push_back(id);
         }
     }
@@ -330,29 +334,14 @@
     if (notes.empty()) {
         return;
     }
-    const auto targets = this->all_members();
-    this->notes_to_send = this->state.crashes.notes();
-    this->notes_to_send.insert(this->notes_to_send.end(), notes.begin(), notes.end());
-    this->send_heartbeats(now, targets);
-    this->notes_to_send.clear();
-    this->notes_round = this->heartbeat_round;
-    this->notes_awaited = {targets.begin(), targets.end()};
+    const auto targets = this->running_peers();
+    this->send_heartbeats(now, targets, this->note_spread.urgent_notes(notes));
+    this->note_spread.await(this->heartbeat_round, targets);
     if (targets.empty()) {
         this->coordinator.on_notes_spread(now);
     }
 }
 
-void entry_node::confirm_notes(time_point now, const peers::heartbeat& answer)
-{
-    if (answer.answers_round < this->notes_round || this->notes_awaited.empty()) {
-        return;
-    }
-    this->notes_awaited.erase(answer.members.front().description.id);
-    if (this->notes_awaited.empty()) {
-        this->coordinator.on_notes_spread(now);
-    }
-}
-
 void entry_node::absorb_reports(time_point now, const peers::heartbeat& message)
 {
     const auto& sender = message.members.front();
@@ -379,7 +368,7 @@
 {
     const auto& sender = message.members.front().description;
     this->last_exchange[sender.id] = now;
-    this->unreachable.erase(sender.id);
+    this->lookup.set_reachable(sender.id, true);
     const bool has_changed = this->state.members.merge(now, message.members);
     this->absorb_reports(now, message);
     if (sender.region == this->state.members.self().description.region) {
@@ -396,7 +385,7 @@
         this->state.handover_holders[incarnation] = sender.id;
     }
     if (message.tickets.count > 0) {
-        this->stock.add(sender.id, message.tickets);
+        this->lookup.on_lent_tickets(sender.id, message.tickets);
     }
     if (message.wants_tickets) {
         this->ticket_askers.insert(sender.id);
@@ -428,7 +417,7 @@
     this->absorb(now, message);
     auto answer =
         this->make_heartbeat(now, message.members.front().description.id, this->state.members.next_gossip());
-    answer.crash_notes = this->some_notes();
+    answer.crash_notes = this->note_spread.next_notes();
     answer.answers_round = message.round;
     return answer;
 }
@@ -437,28 +426,20 @@
 {
     this->notice_time(now);
     this->absorb(now, message);
-    this->confirm_notes(now, message);
+    if (this->note_spread.on_answer(message.members.front().description.id, message.answers_round)) {
+        this->coordinator.on_notes_spread(now);
+    }
     this->share_notes(now);
 }
 
-void entry_node::on_peer_unreachable(const instance_id& peer)
+void entry_node::on_peer_unreachable(time_point now, const instance_id& peer)
 {
-    this->unreachable.insert(peer);
+    this->notice_time(now);
+    this->lookup.set_reachable(peer, false);
     this->state.selector.forget(peer);
-}
-
-std::vector<membership::member_description> entry_node::reachable_members() const
-{
-    auto members = this->state.members.live_members();
-    const auto is_unreachable = [this](const membership::member_description& member) {
-        return this->unreachable.contains(member.id);
-    };
-    const auto reachable = std::count_if(members.begin(), members.end(), std::not_fn(is_unreachable));
-    //! NOTE When nobody but this instance seems to be left, the fault is likelier here.
-    if (reachable > 1 || members.size() <= 2) {
-        std::erase_if(members, is_unreachable);
+    if (this->note_spread.on_unreachable(peer)) {
+        this->coordinator.on_notes_spread(now);
     }
-    return members;
 }
 
 void entry_node::on_handover(const requests::ticket_handover& handover)
@@ -470,41 +451,7 @@
                                   std::uint64_t tickets)
 {
     this->notice_time(now);
-    const auto& own = this->state.members.self().description;
-    const auto& wanted_region = client_region.empty() ? own.region : client_region;
-    std::vector<membership::member_description> near;
-    std::vector<membership::member_description> far;
-    for (auto& member : this->reachable_members()) {
-        (member.region == wanted_region ? near : far).push_back(std::move(member));
-    }
-    const auto shuffle = [this](std::vector<membership::member_description>& members) {
-        for (std::size_t i = members.size(); i > 1; --i) {
-            std::swap(members[i - 1], members[this->random() % i]);
-        }
-    };
-    shuffle(near);
-    shuffle(far);
-    //! NOTE Places are kept for other regions: the whole near region may be lost before the next look-up.
-    const auto far_places = std::min(far.size(), this->configuration.lookup_far_entries);
-    near.resize(std::min(near.size(), this->configuration.lookup_entries - far_places));
-    far.resize(std::min(far.size(), this->configuration.lookup_entries - near.size()));
-    near.insert(near.end(), far.begin(), far.end());
-    lookup_answer answer;
-    answer.ttl = this->configuration.lookup_ttl;
-    for (const auto& member : near) {
-        answer.entries.push_back({member.id, member.region, member.caller_address});
-    }
-    const auto granted = std::min(tickets, this->configuration.max_lookup_tickets);
-    if (near.empty() || granted == 0 || !this->state.directory.knows(service)) {
-        return answer;
-    }
-    const auto& first = near.front();
-    if (first.id != own.id) {
-        answer.tickets = this->stock.take(first.id, first.incarnation, granted);
-    } else if (!this->state.tickets.sealed()) {
-        answer.tickets = this->state.tickets.issue(granted);
-    }
-    return answer;
+    return this->lookup.answer(service, client_region, tickets);
 }
 
 void entry_node::begin_leave(time_point now)
@@ -515,7 +462,7 @@
     this->leave_step = leave_phase::lingering;
     this->leave_started = now;
     this->state.members.set_state(member_state::leaving);
-    this->send_heartbeats(now, this->all_members());
+    this->send_heartbeats(now, this->running_peers(), this->note_spread.next_notes());
     this->rebuild(now);
 }
 
@@ -537,7 +484,7 @@
     }
     this->leave_step = leave_phase::stopped;
     this->state.members.set_state(member_state::gone);
-    this->send_heartbeats(this->last_event, this->all_members());
+    this->send_heartbeats(this->last_event, this->running_peers(), this->note_spread.next_notes());
 }
 
 void entry_node::advance_leave(time_point now)
@@ -565,18 +512,6 @@
     }
 }
 
-std::vector<quarantine::crash_note> entry_node::some_notes()
-{
-    auto notes = this->state.crashes.notes();
-    if (notes.size() > max_notes_in_heartbeat) {
-        this->note_position = (this->note_position + max_notes_in_heartbeat) % notes.size();
-        std::rotate(notes.begin(), notes.begin() + static_cast<std::ptrdiff_t>(this->note_position),
-                    notes.end());
-        notes.resize(max_notes_in_heartbeat);
-    }
-    return notes;
-}
-
 void entry_node::on_tick(time_point now)
 {
     this->notice_time(now);
@@ -614,8 +549,6 @@
     for (auto& [service, admission] : this->state.admission.services()) {
         admission.grant_credits(now);
     }
-    this->notes_to_send = this->some_notes();
-    this->send_heartbeats(now, this->due_targets(now));
-    this->notes_to_send.clear();
+    this->send_heartbeats(now, this->due_targets(now), this->note_spread.next_notes());
 }
 } // namespace buckthornhill::node
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -5,9 +5,10 @@
 #include <set>
 #include <vector>
 
+#include "node/crash_note_spread.h"
+#include "node/entry_lookup.h"
 #include "node/node_slices.h"
 #include "node/request_coordinator.h"
-#include "node/ticket_stock.h"
 
 namespace buckthornhill::node {
 //! All decisions of one entry instance. Events come in with their time; `take_actions` gives what to do.
@@ -31,7 +32,7 @@
     peers::heartbeat on_heartbeat(time_point now, const peers::heartbeat& message);
     void on_heartbeat_answer(time_point now, const peers::heartbeat& message);
     //! The connect to a peer failed: callers and requests are sent elsewhere until it is heard of again.
-    void on_peer_unreachable(const instance_id& peer);
+    void on_peer_unreachable(time_point now, const instance_id& peer);
     //! A document from the store or a peer. Version 0 says that the store has none.
     lists::offer_result on_document(time_point now, lists::document_name name, object_version version,
                                     const std::string& body);
@@ -71,16 +72,13 @@
     void absorb(time_point now, const peers::heartbeat& message);
     void absorb_reports(time_point now, const peers::heartbeat& message);
     peers::heartbeat make_heartbeat(time_point now, const instance_id& receiver, membership::gossip gossip);
-    void send_heartbeats(time_point now, const std::vector<instance_id>& targets);
+    void send_heartbeats(time_point now, const std::vector<instance_id>& targets,
+                         const std::vector<quarantine::crash_note>& notes);
     //! Targets of this round that did not exchange heartbeats with this instance just now.
     std::vector<instance_id> due_targets(time_point now);
-    //! Live members that callers may be sent to.
-    std::vector<membership::member_description> reachable_members() const;
-    std::vector<instance_id> all_members() const;
-    //! Crash notes for one heartbeat; those beyond its bound take turns.
-    std::vector<quarantine::crash_note> some_notes();
+    //! Peers that run and could be reached the last time.
+    std::vector<instance_id> running_peers() const;
     void share_notes(time_point now);
-    void confirm_notes(time_point now, const peers::heartbeat& answer);
     void refresh_own_report(time_point now);
     void advance_leave(time_point now);
     void send_handover();
@@ -90,14 +88,11 @@
     std::vector<action> outbox;
     node_slices state;
     request_coordinator coordinator;
-    ticket_stock stock;
+    entry_lookup lookup;
+    crash_note_spread note_spread;
     std::map<instance_id, std::map<service_id, std::int64_t>> ejected_elsewhere;
     std::set<instance_id> ticket_askers;
-    std::set<instance_id> unreachable;               //!< peers whose last connect failed
     std::map<instance_id, time_point> last_exchange; //!< last heartbeat, or answer to one, from each peer
-    std::vector<quarantine::crash_note> notes_to_send;
-    std::set<instance_id> notes_awaited; //!< peers that have not confirmed the last crash notes
-    std::uint64_t notes_round = 0;
     std::uint64_t heartbeat_round = 0;
     std::uint64_t resync_round =
         1; //!< the answer to this heartbeat, or a later one, ends the resynchronization
@@ -107,7 +102,6 @@
     time_point leave_started{};
     time_point handover_sent{};
     std::uint64_t rebuilt_epoch = 0;
-    std::size_t note_position = 0;
     bool awaits_resync = true;
     bool has_store_answer = false;
     leave_phase leave_step = leave_phase::serving;
--- a/src/node/request_coordinator.cpp
+++ b/src/node/request_coordinator.cpp
@@ -37,7 +37,7 @@
 {
 }
 
-request_coordinator::flow_state* request_coordinator::find(flow_id id, std::uint64_t attempt)
+request_flow* request_coordinator::find(flow_id id, std::uint64_t attempt)
 {
     const auto found = this->flows.find(id);
     const bool is_current = found != this->flows.end() && found->second.attempt == attempt;
@@ -66,7 +66,7 @@
     this->place(now, flow);
 }
 
-void request_coordinator::open_ticket(time_point now, flow_state& flow)
+void request_coordinator::open_ticket(time_point now, request_flow& flow)
 {
     const auto id = flow.facts.flow;
     if (!flow.facts.name) {
@@ -89,7 +89,7 @@
         this->answer_ended(flow);
         return;
     case ticket_verdict::running:
-        flow.step = phase::joined;
+        flow.step = flow_phase::joined;
         this->flows.at(this->slices.tickets.running_flow(name.number)).joined.push_back(id);
         return;
     case ticket_verdict::fresh:
@@ -106,13 +106,13 @@
     this->place(now, flow);
 }
 
-void request_coordinator::answer_ended(flow_state& flow)
+void request_coordinator::answer_ended(request_flow& flow)
 {
     const auto* known = this->slices.tickets.find_ended(flow.facts.name->number);
     this->finish(flow.facts.flow, known->result, known->reason, {}, known->answer);
 }
 
-void request_coordinator::resend_elsewhere(time_point now, flow_state& flow)
+void request_coordinator::resend_elsewhere(time_point now, request_flow& flow)
 {
     const auto& name = *flow.facts.name;
     const auto* named = this->slices.members.find_incarnation(name.incarnation);
@@ -135,9 +135,9 @@
     this->finish(flow.facts.flow, outcome::unknown, refusal_reason::none, {}, nullptr);
 }
 
-void request_coordinator::place(time_point now, flow_state& flow)
+void request_coordinator::place(time_point now, request_flow& flow)
 {
-    flow.step = phase::placing;
+    flow.step = flow_phase::placing;
     const auto id = flow.facts.flow;
     if (!this->is_admitting) {
         //! NOTE Peers still admit exactly; only what this instance owns has to wait.
@@ -171,7 +171,7 @@
     this->send_to_peer(now, flow, member->record.description, peer_request_kind::admit);
 }
 
-steering::steering_choice request_coordinator::pick_owner(time_point now, const flow_state& flow)
+steering::steering_choice request_coordinator::pick_owner(time_point now, const request_flow& flow)
 {
     const auto& facts = flow.facts;
     if (this->slices.crashes.judge(facts.print) == verdict::suspected) {
@@ -184,7 +184,7 @@
     return this->slices.selector.choose(now, facts.service, preferred, flow.tried);
 }
 
-instance_id request_coordinator::trial_owner(const flow_state& flow) const
+instance_id request_coordinator::trial_owner(const request_flow& flow) const
 {
     //! NOTE Every instance sends a suspect to the same owner, which runs it one at a time.
     const auto service = this->slices.directory.services().find(flow.facts.service);
@@ -202,10 +202,10 @@
     return best == nullptr ? instance_id{} : this->slices.owners.owner_of(*best);
 }
 
-void request_coordinator::send_to_peer(time_point now, flow_state& flow,
+void request_coordinator::send_to_peer(time_point now, request_flow& flow,
                                        const membership::member_description& peer, peer_request_kind kind)
 {
-    flow.step = phase::at_peer;
+    flow.step = flow_phase::at_peer;
     flow.peer_kind = kind;
     ++flow.attempt;
     const auto deadline = std::max(flow.facts.deadline, now) + this->configuration.answer_grace;
@@ -247,7 +247,7 @@
     this->offer_here(now, flow);
 }
 
-void request_coordinator::offer_here(time_point now, flow_state& flow)
+void request_coordinator::offer_here(time_point now, request_flow& flow)
 {
     const auto& facts = flow.facts;
     const bool is_suspect = this->slices.crashes.judge(facts.print) == verdict::suspected;
@@ -274,7 +274,7 @@
     if (decision.kind == admission_kind::started) {
         this->start_at_upstream(now, flow, decision.upstream);
     } else if (decision.kind == admission_kind::queued) {
-        flow.step = phase::queued;
+        flow.step = flow_phase::queued;
     } else {
         this->on_owner_refused(now, flow, decision.reason, decision.retry_after);
     }
@@ -296,11 +296,11 @@
     }
 }
 
-void request_coordinator::start_at_upstream(time_point now, flow_state& flow, const upstream_id& upstream)
+void request_coordinator::start_at_upstream(time_point now, request_flow& flow, const upstream_id& upstream)
 {
     const auto* description = this->slices.directory.find(upstream);
     flow.upstream = upstream;
-    flow.step = phase::at_upstream;
+    flow.step = flow_phase::at_upstream;
     ++flow.attempt;
     ++flow.upstream_tries;
     this->at_upstream[upstream].insert(flow.facts.flow);
@@ -318,7 +318,7 @@
                                                  !flow.facts.is_idempotent});
 }
 
-void request_coordinator::leave_upstream(time_point now, flow_state& flow, const upstream_result& result)
+void request_coordinator::leave_upstream(time_point now, request_flow& flow, const upstream_result& result)
 {
     this->at_upstream[flow.upstream].erase(flow.facts.flow);
     this->slices.admission.on_finish(now, flow.facts.service, flow.facts.flow, attempt_result_of(result));
@@ -332,7 +332,7 @@
 {
     this->event_time = now;
     auto* flow = this->find(id, attempt);
-    if (flow == nullptr || flow->step != phase::at_upstream) {
+    if (flow == nullptr || flow->step != flow_phase::at_upstream) {
         return;
     }
     this->leave_upstream(now, *flow, result);
@@ -361,7 +361,7 @@
     this->handle_admission_events(now);
 }
 
-void request_coordinator::on_not_executed_here(time_point now, flow_state& flow, refusal_reason reason)
+void request_coordinator::on_not_executed_here(time_point now, request_flow& flow, refusal_reason reason)
 {
     flow.avoid = flow.upstream;
     if (flow.upstream_tries < this->configuration.requests.max_upstream_tries && flow.facts.deadline > now) {
@@ -371,7 +371,7 @@
     this->on_owner_refused(now, flow, reason, std::chrono::milliseconds(100));
 }
 
-void request_coordinator::on_crash(time_point now, flow_state& flow)
+void request_coordinator::on_crash(time_point now, request_flow& flow)
 {
     //! NOTE Every request that ran there is a suspect; the innocent clear themselves by completing.
     std::vector<fingerprint> in_flight{flow.facts.print};
@@ -383,7 +383,7 @@
     }
     //! NOTE The answer waits until the notes have reached the peers, so that a resend meets them anywhere.
     flow.avoid = flow.upstream;
-    flow.step = phase::held;
+    flow.step = flow_phase::held;
     flow.held_until = now + this->configuration.max_note_wait;
     this->held.insert(flow.facts.flow);
 }
@@ -402,7 +402,7 @@
     }
 }
 
-void request_coordinator::retry_or_unknown(time_point now, flow_state& flow)
+void request_coordinator::retry_or_unknown(time_point now, request_flow& flow)
 {
     if (flow.is_on_trial) {
         this->slices.crashes.end_trial(flow.facts.print);
@@ -419,7 +419,7 @@
     this->finish(flow.facts.flow, outcome::unknown, refusal_reason::none, {}, nullptr);
 }
 
-void request_coordinator::on_owner_refused(time_point now, flow_state& flow, refusal_reason reason,
+void request_coordinator::on_owner_refused(time_point now, request_flow& flow, refusal_reason reason,
                                            duration retry_after)
 {
     const auto id = flow.facts.flow;
@@ -452,7 +452,7 @@
 {
     this->event_time = now;
     auto* flow = this->find(id, attempt);
-    if (flow == nullptr || flow->step != phase::at_peer) {
+    if (flow == nullptr || flow->step != flow_phase::at_peer) {
         return;
     }
     if (result.report) {
@@ -466,7 +466,7 @@
     this->handle_admission_events(now);
 }
 
-void request_coordinator::on_admit_result(time_point now, flow_state& flow, const peer_result& result)
+void request_coordinator::on_admit_result(time_point now, request_flow& flow, const peer_result& result)
 {
     const auto id = flow.facts.flow;
     switch (result.status) {
@@ -493,7 +493,7 @@
     }
 }
 
-void request_coordinator::on_resend_result(flow_state& flow, const peer_result& result)
+void request_coordinator::on_resend_result(request_flow& flow, const peer_result& result)
 {
     //! NOTE The original may have run at the named incarnation, so a lost answer is `unknown`.
     const bool is_complete = result.status == attempt_status::complete;
@@ -515,11 +515,12 @@
     if (!flow.facts.is_idempotent && !flow.is_forwarded) {
         return;
     }
-    if (flow.step == phase::queued && this->slices.admission.withdraw(flow.facts.service, id)) {
+    if (flow.step == flow_phase::queued && this->slices.admission.withdraw(flow.facts.service, id)) {
         this->finish(id, outcome::not_executed, refusal_reason::none, {}, nullptr);
         return;
     }
-    if (flow.facts.is_idempotent && (flow.step == phase::at_upstream || flow.step == phase::at_peer)) {
+    if (flow.facts.is_idempotent &&
+        (flow.step == flow_phase::at_upstream || flow.step == flow_phase::at_peer)) {
         this->outbox.push_back(cancel_action{id, flow.attempt});
     }
     this->handle_admission_events(now);
@@ -531,7 +532,8 @@
         const auto [id, attempt] = this->late_checks.begin()->second;
         this->late_checks.erase(this->late_checks.begin());
         auto* flow = this->find(id, attempt);
-        const bool is_waiting = flow != nullptr && flow->step == phase::at_peer && flow->facts.deadline > now;
+        const bool is_waiting =
+            flow != nullptr && flow->step == flow_phase::at_peer && flow->facts.deadline > now;
         if (is_waiting && this->budget.try_spend()) {
             this->outbox.push_back(cancel_action{id, attempt});
             this->on_owner_refused(now, *flow, refusal_reason::overloaded, std::chrono::milliseconds(100));
@@ -583,7 +585,7 @@
     }
 }
 
-void request_coordinator::emit_answer(const flow_state& flow, outcome result, refusal_reason reason,
+void request_coordinator::emit_answer(const request_flow& flow, outcome result, refusal_reason reason,
                                       duration retry_after, const requests::answer_ptr& answer)
 {
     if (flow.is_abandoned) {
--- a/src/node/request_coordinator.h
+++ b/src/node/request_coordinator.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "node/node_slices.h"
+#include "node/request_flow.h"
 #include "requests/retry_budget.h"
 
 namespace buckthornhill::node {
@@ -38,59 +39,32 @@
     std::vector<quarantine::crash_note> take_fresh_notes() { return std::exchange(this->fresh_notes, {}); }
 
 private:
-    enum class phase { placing, queued, at_upstream, at_peer, joined, held };
-    struct flow_state
-    {
-        request_facts facts;
-        region_id from_region; //!< of the entry instance that forwarded the request
-        admission::request_class priority = admission::request_class::no_plan;
-        admission::request_origin origin = admission::request_origin::local;
-        instance_id from;          //!< the entry instance that forwarded the request to this owner
-        bool is_forwarded = false; //!< this instance acts as the owner alone
-        bool has_ticket = false;   //!< started in the book of this incarnation
-        bool is_abandoned = false;
-        bool is_on_trial = false;
-        bool is_counted = false; //!< in the usage of its customer
-        phase step = phase::placing;
-        std::uint64_t attempt = 0;
-        peer_request_kind peer_kind = peer_request_kind::admit;
-        instance_id owner;
-        upstream_id upstream;
-        upstream_id avoid;
-        std::set<instance_id> tried;
-        int upstream_tries = 0;
-        admission::refusal_reason last_reason = admission::refusal_reason::no_upstream;
-        duration last_retry_after = std::chrono::milliseconds(250);
-        time_point held_until;
-        std::vector<flow_id> joined;
-    };
-
-    void open_ticket(time_point now, flow_state& flow);
-    void resend_elsewhere(time_point now, flow_state& flow);
-    void answer_ended(flow_state& flow);
-    void place(time_point now, flow_state& flow);
-    steering::steering_choice pick_owner(time_point now, const flow_state& flow);
-    instance_id trial_owner(const flow_state& flow) const;
-    void offer_here(time_point now, flow_state& flow);
-    void start_at_upstream(time_point now, flow_state& flow, const upstream_id& upstream);
-    void send_to_peer(time_point now, flow_state& flow, const membership::member_description& peer,
+    void open_ticket(time_point now, request_flow& flow);
+    void resend_elsewhere(time_point now, request_flow& flow);
+    void answer_ended(request_flow& flow);
+    void place(time_point now, request_flow& flow);
+    steering::steering_choice pick_owner(time_point now, const request_flow& flow);
+    instance_id trial_owner(const request_flow& flow) const;
+    void offer_here(time_point now, request_flow& flow);
+    void start_at_upstream(time_point now, request_flow& flow, const upstream_id& upstream);
+    void send_to_peer(time_point now, request_flow& flow, const membership::member_description& peer,
                       peer_request_kind kind);
-    void leave_upstream(time_point now, flow_state& flow, const upstream_result& result);
-    void on_not_executed_here(time_point now, flow_state& flow, admission::refusal_reason reason);
-    void on_crash(time_point now, flow_state& flow);
-    void on_owner_refused(time_point now, flow_state& flow, admission::refusal_reason reason,
+    void leave_upstream(time_point now, request_flow& flow, const upstream_result& result);
+    void on_not_executed_here(time_point now, request_flow& flow, admission::refusal_reason reason);
+    void on_crash(time_point now, request_flow& flow);
+    void on_owner_refused(time_point now, request_flow& flow, admission::refusal_reason reason,
                           duration retry_after);
-    void on_admit_result(time_point now, flow_state& flow, const peer_result& result);
-    void on_resend_result(flow_state& flow, const peer_result& result);
-    void retry_or_unknown(time_point now, flow_state& flow);
+    void on_admit_result(time_point now, request_flow& flow, const peer_result& result);
+    void on_resend_result(request_flow& flow, const peer_result& result);
+    void retry_or_unknown(time_point now, request_flow& flow);
     //! Look-ups whose owner is late, perhaps paused, go to another one within the retry budget.
     void give_up_late_owners(time_point now);
     void release_held(time_point now, bool are_notes_spread);
     void finish(flow_id id, requests::outcome result, admission::refusal_reason reason, duration retry_after,
                 const requests::answer_ptr& answer);
-    void emit_answer(const flow_state& flow, requests::outcome result, admission::refusal_reason reason,
+    void emit_answer(const request_flow& flow, requests::outcome result, admission::refusal_reason reason,
                      duration retry_after, const requests::answer_ptr& answer);
-    flow_state* find(flow_id id, std::uint64_t attempt);
+    request_flow* find(flow_id id, std::uint64_t attempt);
 
     node_slices& slices;
     const node_configuration& configuration;
@@ -98,7 +72,7 @@
     region_id region;
     std::vector<action>& outbox;
     requests::retry_budget budget;
-    std::unordered_map<flow_id, flow_state> flows;
+    std::unordered_map<flow_id, request_flow> flows;
     std::unordered_map<upstream_id, std::set<flow_id>> at_upstream;
     std::set<flow_id> held;
     std::multimap<time_point, std::pair<flow_id, std::uint64_t>> late_checks; //!< flow and attempt
--- a/src/operators/report_commands.cpp
+++ b/src/operators/report_commands.cpp
@@ -160,7 +160,7 @@
 std::string report_commands::drain_status() const
 {
     const auto statuses = this->fleet.statuses();
-    text_table table({"instance", "drain", "target", "state", "calls due"});
+    text_table table({"instance", "drain", "target", "state", "running", "calls due"});
     for (const auto& instance : statuses) {
         if (!instance.is_answering) {
             continue;
@@ -172,7 +172,7 @@
             }
             table.add({instance.id, text_of(drain.at("id")),
                        text_of(drain.at("kind")) + " " + text_of(drain.at("target")),
-                       text_of(drain.at("state")), due});
+                       text_of(drain.at("state")), text_of(drain.at("running")), due});
         }
     }
     return table.str();
--- a/src/operators/store_access.cpp
+++ b/src/operators/store_access.cpp
@@ -1,6 +1,5 @@
 #include "operators/store_access.h"
 
-#include <charconv>
 #include <random>
 
 #include "http/blocking_call.h"
@@ -15,14 +14,6 @@
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_conflict = 412;
 
-object_version version_in(const http::http_response& response)
-{
-    const auto text = http::find_header(response.headers, "X-Version");
-    std::uint64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return object_version(number);
-}
-
 std::string new_edit_id()
 {
     std::random_device source;
@@ -57,7 +48,7 @@
     if (result.response.status != status_ok) {
         return std::nullopt;
     }
-    return stored_document{version_in(result.response), result.response.body};
+    return stored_document{platform::version_in(result.response), result.response.body};
 }
 
 stored_document store_access::read(lists::document_name name) const
@@ -84,7 +75,7 @@
         return {lists::write_answer::lost, {}};
     }
     if (result.response.status == status_ok) {
-        return {lists::write_answer::accepted, version_in(result.response)};
+        return {lists::write_answer::accepted, platform::version_in(result.response)};
     }
     const bool is_conflict = result.response.status == status_conflict;
     return {is_conflict ? lists::write_answer::version_conflict : lists::write_answer::lost, {}};
--- a/src/platform/document_watcher.cpp
+++ b/src/platform/document_watcher.cpp
@@ -1,7 +1,6 @@
 #include "platform/document_watcher.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,13 +16,6 @@
 constexpr unsigned status_not_modified = 304;
 constexpr unsigned status_not_found = 404;
 
-object_version version_in(const http::http_response& response)
-{
-    const auto text = http::find_header(response.headers, "X-Version");
-    std::uint64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return object_version(number);
-}
 } // namespace
 
 struct document_watcher::watch
--- a/src/platform/platform_types.h
+++ b/src/platform/platform_types.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "global/ids.h"
+#include "http/http_types.h"
 #include "lists/lists_types.h"
 
 //! The platform's object API: versions, conditional updates and watches; its list of instances lags.
@@ -27,6 +28,8 @@
     std::chrono::milliseconds max_backoff{2000};
 };
 
+//! Version that the object API gave with an answer; 0 when there is none.
+object_version version_in(const http::http_response& response);
 //! Path of a document in the object API.
 std::string path_of_document(lists::document_name name);
 } // namespace buckthornhill::platform
--- /dev/null
+++ b/src/quota/tests/quota_tests.cpp
@@ -0,0 +1,32 @@
+#include <catch2/catch.hpp>
+
+#include "quota/usage_tracker.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::quota;
+
+SCENARIO("a request is classed by what its customer uses in the region", "[quota]")
+{
+    // [GIVEN] A customer with a quota of 3 slots here, one of them used at another instance
+    const time_point now = time_point{} + std::chrono::hours(1);
+    const customer_id crews("crews");
+    const service_id service("orderdesk");
+    lists::plans_list plans{{plan_id("crew")}, {{crews, plan_id("crew")}}, {}};
+    lists::quotas_list quotas{{{plan_id("crew"), region_id("luzon"), service, slot_count(3)},
+                               {plan_id("crew"), region_id("visayas"), service, slot_count(9)}}};
+    usage_tracker tracker(region_id("luzon"));
+    tracker.set_lists(plans, quotas);
+    tracker.on_peer_usage(now, instance_id("peer"), {{crews, service, slot_count(1)}});
+    // [WHEN] It uses its quota up [THEN] further requests are above it
+    tracker.on_start(crews, service);
+    REQUIRE(tracker.class_of(now, crews, service) == request_class::within_quota);
+    tracker.on_start(crews, service);
+    REQUIRE(tracker.class_of(now, crews, service) == request_class::above_quota);
+    // [THEN] Others are on no plan, and a service without a quota is above it
+    REQUIRE(tracker.class_of(now, customer_id("x"), service) == request_class::no_plan);
+    REQUIRE(tracker.class_of(now, crews, service_id("stockyard")) == request_class::above_quota);
+    // [WHEN] The peer's report is too old, or a request ends [THEN] the customer has room again
+    REQUIRE(tracker.class_of(now + std::chrono::seconds(4), crews, service) == request_class::within_quota);
+    tracker.on_finish(crews, service);
+    REQUIRE(tracker.class_of(now, crews, service) == request_class::within_quota);
+}
--- a/src/steering/owner_selector.cpp
+++ b/src/steering/owner_selector.cpp
@@ -226,17 +226,29 @@
     return best;
 }
 
+bool owner_selector::prefers_remote(const service_state& service, const instance_id& local,
+                                    const std::set<instance_id>& tried) const
+{
+    if (!service.is_shifting) {
+        return false;
+    }
+    //! NOTE One refusal from another region is enough: the tries that are left belong to the own region.
+    const bool was_refused = std::any_of(tried.begin(), tried.end(), [&](const instance_id& id) {
+        const auto owner = service.owners.find(id);
+        return owner != service.owners.end() && !this->is_local(owner->second);
+    });
+    const bool keeps_headroom = this->configuration.weigh == weighing::headroom;
+    return !was_refused && (keeps_headroom || !this->has_room(service.owners.at(local)));
+}
+
 steering_choice owner_selector::choose(time_point now, const service_id& service,
                                        const instance_id& preferred, const std::set<instance_id>& tried)
 {
     auto& state = this->services[service];
     this->update_shift(now, state);
     const auto* local = this->best_local(now, state, preferred, tried);
-    if (local != nullptr && (!state.is_shifting || this->has_room(state.owners.at(*local)))) {
-        const bool keeps_headroom = state.is_shifting && this->configuration.weigh == weighing::headroom;
-        if (!keeps_headroom) {
-            return {*local, false};
-        }
+    if (local != nullptr && !this->prefers_remote(state, *local, tried)) {
+        return {*local, false};
     }
     if (const auto* remote = this->best_remote(now, state, tried)) {
         return {*remote, true};
--- a/src/steering/owner_selector.h
+++ b/src/steering/owner_selector.h
@@ -64,6 +64,9 @@
                                   const std::set<instance_id>& tried) const;
     //! One of `candidates`, with a chance in proportion to its slots.
     const instance_id* draw(const std::vector<std::pair<const instance_id*, std::int64_t>>& candidates) const;
+    //! The request should leave the region although `local` could take it.
+    bool prefers_remote(const service_state& service, const instance_id& local,
+                        const std::set<instance_id>& tried) const;
     const instance_id* best_remote(time_point now, const service_state& service,
                                    const std::set<instance_id>& tried) const;
 
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,7 +1,6 @@
 #include "child_process.h"
 
 #include <csignal>
-#include <fstream>
 #include <stdexcept>
 #include <utility>
 
@@ -136,17 +135,4 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
-long child_process::resident_kib() const
-{
-    std::ifstream file("/proc/" + std::to_string(this->process) + "/status");
-    std::string word;
-    while (file >> word) {
-        if (word == "VmRSS:") {
-            long kib = 0;
-            file >> kib;
-            return kib;
-        }
-    }
-    return 0;
-}
 } // namespace buckthornhill::testing
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -35,8 +35,6 @@
     void signal(int number) const;
     //! Waits for the end; returns the exit code, or 128 and the signal's number.
     int wait();
-    //! Resident memory in KiB.
-    long resident_kib() const;
 
 private:
     pid_t process = -1;
--- a/tools/bench/control_bench.cpp
+++ b/tools/bench/control_bench.cpp
@@ -52,7 +52,7 @@
     for (std::size_t i = 0; i < after.size(); ++i) {
         most_cpu = std::max(most_cpu, (after[i].cpu - before[i].cpu) / seconds * 100);
         most_bytes = std::max(most_bytes, (after[i].bytes - before[i].bytes) / seconds);
-        most_kib = std::max(most_kib, system.daemons()[i].process->resident_kib());
+        most_kib = std::max(most_kib, resident_kib(system.daemons()[i].process->pid()));
     }
     std::cout << "idle, most of " << after.size() << " daemons: " << most_cpu << " % of a core, "
               << most_bytes << " bytes/s of heartbeats sent and received, " << most_kib << " KiB resident\n";
--- a/tools/bench/decision_bench.cpp
+++ b/tools/bench/decision_bench.cpp
@@ -1,13 +1,13 @@
 #include "decision_bench.h"
 
 #include <chrono>
-#include <fstream>
 #include <iostream>
 #include <random>
 #include <string>
 
 #include "node/entry_node.h"
 #include "peers/heartbeat_codec.h"
+#include "process_usage.h"
 
 namespace buckthornhill::bench {
 namespace {
@@ -26,20 +26,6 @@
     return std::chrono::duration<double>(steady::now() - start).count();
 }
 
-long resident_kib()
-{
-    std::ifstream file("/proc/self/status");
-    std::string word;
-    while (file >> word) {
-        if (word == "VmRSS:") {
-            long kib = 0;
-            file >> kib;
-            return kib;
-        }
-    }
-    return 0;
-}
-
 random_hook make_random()
 {
     auto engine = std::make_shared<std::mt19937_64>(7);
@@ -81,7 +67,7 @@
 
 void measure_gossip(std::size_t members, std::size_t records, std::size_t target_bound)
 {
-    const auto before_kib = resident_kib();
+    const auto before_kib = resident_kib(getpid());
     membership::membership_configuration settings;
     settings.max_gossip_records = records;
     settings.domain_targets = target_bound;
@@ -93,7 +79,7 @@
         all.push_back({describe(i), membership::member_state::live, 1});
     }
     table.merge(now, all);
-    const auto memory_kib = resident_kib() - before_kib;
+    const auto memory_kib = resident_kib(getpid()) - before_kib;
     std::size_t bytes = 0;
     std::size_t targets = 0;
     const auto start = steady::now();
@@ -143,13 +129,13 @@
                 R"(","plan":"gold"})";
     }
     const std::string body = R"({"plans":["gold"],"customers":[)" + list + "]}";
-    const auto before_kib = resident_kib();
+    const auto before_kib = resident_kib(getpid());
     lists::list_state state;
     const auto start = steady::now();
     state.offer(lists::document_name::plans, object_version(1), body);
     const auto took_ms = seconds_since(start) * 1e3;
     std::cout << "customers " << customers << ": plans of " << body.size() << " bytes in force in " << took_ms
-              << " ms, " << resident_kib() - before_kib << " KiB\n";
+              << " ms, " << resident_kib(getpid()) - before_kib << " KiB\n";
 }
 } // namespace
 
--- a/tools/bench/http_bench.cpp
+++ b/tools/bench/http_bench.cpp
@@ -107,7 +107,7 @@
         return;
     }
     const auto& daemon = system.daemons().front();
-    std::cout << "idle daemon: " << daemon.process->resident_kib() << " KiB resident\n";
+    std::cout << "idle daemon: " << resident_kib(daemon.process->pid()) << " KiB resident\n";
     run_closed_loop(daemon.caller_address, "/queuedesk/item/", half_load_connections, warm_requests);
     const auto direct =
         run_closed_loop(first_upstream(system), "/queuedesk/item/", half_load_connections, warm_requests * 5);
@@ -119,6 +119,6 @@
               << through.p99_ms - direct.p99_ms << " ms\n";
     measure_throughput(system, "small requests", "/queuedesk/item/");
     measure_throughput(system, "look-ups", "/.buckthornhill/lookup?service=queuedesk&n=");
-    std::cout << "busy daemon: " << daemon.process->resident_kib() << " KiB resident\n";
+    std::cout << "busy daemon: " << resident_kib(daemon.process->pid()) << " KiB resident\n";
 }
 } // namespace buckthornhill::bench
--- a/tools/bench/process_usage.h
+++ b/tools/bench/process_usage.h
@@ -25,4 +25,19 @@
     fields >> user >> system;
     return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
+
+//! Resident memory of a process, in KiB.
+inline long resident_kib(pid_t process)
+{
+    std::ifstream file("/proc/" + std::to_string(process) + "/status");
+    std::string word;
+    while (file >> word) {
+        if (word == "VmRSS:") {
+            long kib = 0;
+            file >> kib;
+            return kib;
+        }
+    }
+    return 0;
+}
 } // namespace buckthornhill::bench
