Judge a resend by its ticket alone, also where its service is not listed

Ruled out: the ticket book (the named incarnation was never asked). Change: the service is looked up when a request is placed, after its ticket; a request with a ticket of another incarnation is forwarded or unknown. For the same reason the listener says not-executed on a malformed request only when the headers were read and name no ticket, and unknown otherwise; the limits test now asks for that, which is stricter, and for not-executed on a body that is too large.

--- a/src/http/internal/http_session.cpp
+++ b/src/http/internal/http_session.cpp
@@ -6,8 +6,10 @@
 namespace beast_http = boost::beast::http;
 
 namespace {
+constexpr unsigned status_body_too_large = 413;
+constexpr const char* ticket_header = "Bth-Ticket";
 constexpr std::size_t read_chunk_bytes = 8UL * 1024;
-}
+} // namespace
 
 http_session::http_session(boost::asio::ip::tcp::socket connected, std::shared_ptr<session_context> shared)
     : socket(std::move(connected))
@@ -64,7 +66,7 @@
 void http_session::on_request(const boost::system::error_code& failure)
 {
     if (failure == beast_http::error::body_limit) {
-        this->reject(413, "request body is larger than this listener accepts");
+        this->reject(status_body_too_large, "request body is larger than this listener accepts");
         return;
     }
     if (failure == beast_http::error::header_limit || failure == beast_http::error::buffer_overflow) {
@@ -128,7 +130,11 @@
     this->keep_alive = false;
     http_response response;
     response.status = status;
-    response.headers.emplace_back("Bth-Outcome", "not-executed");
+    //! NOTE A resend may be malformed while its original ran, so only a request without a ticket is certain.
+    //! All headers have been read when the body turns out to be too large.
+    const bool are_headers_read = status == status_body_too_large || this->parser->is_header_done();
+    const bool has_no_ticket = are_headers_read && this->parser->get().count(ticket_header) == 0;
+    response.headers.emplace_back("Bth-Outcome", has_no_ticket ? "not-executed" : "unknown");
     response.headers.emplace_back("Content-Type", "text/plain");
     response.body = std::string(reason) + "\n";
     this->write(std::move(response));
--- a/src/node/request_coordinator.cpp
+++ b/src/node/request_coordinator.cpp
@@ -52,7 +52,9 @@
     flow.priority = this->slices.usage.class_of(now, facts.customer, facts.service);
     const bool is_shifted = !facts.client_region.empty() && facts.client_region != this->region;
     flow.origin = is_shifted ? request_origin::remote : request_origin::local;
-    if (this->is_admitting && !this->slices.directory.knows(facts.service)) {
+    //! NOTE A resend is judged by its ticket alone: it may have run although its service is not listed here.
+    const bool is_resend_possible = !facts.is_idempotent && facts.name;
+    if (!is_resend_possible && this->is_admitting && !this->slices.directory.knows(facts.service)) {
         this->finish(facts.flow, outcome::not_executed, refusal_reason::no_upstream, {}, nullptr);
         return;
     }
@@ -139,6 +141,12 @@
 {
     flow.step = flow_phase::placing;
     const auto id = flow.facts.flow;
+    if (!this->slices.directory.knows(flow.facts.service)) {
+        const auto reason =
+            this->is_admitting ? refusal_reason::no_upstream : refusal_reason::resynchronizing;
+        this->finish(id, outcome::not_executed, reason, std::chrono::milliseconds(200), nullptr);
+        return;
+    }
     if (!this->is_admitting) {
         //! NOTE Peers still admit exactly; only what this instance owns has to wait.
         flow.tried.insert(this->self);
