Show cancellation, crossed answers and a store down from the start

Showing cancellation found that a look-up was tried elsewhere after 60 ms while no service time had been measured: one look-up of 1 s ran up to four times within the retry budget. Ruled out: cancellation itself; every run was cancelled. Change: without a measured service time no answer counts as late.

--- a/src/admission/service_admission.cpp
+++ b/src/admission/service_admission.cpp
@@ -151,7 +151,7 @@
             continue;
         }
         const bool is_avoided = id == request.avoid;
-        const auto weight = hash_text(id.str(), request.affinity);
+        const auto weight = rendezvous_weight(upstream.id_hash(), request.affinity);
         const bool is_better = best == nullptr || (is_best_avoided && !is_avoided) ||
                                (is_best_avoided == is_avoided && weight > best_weight);
         if (is_better) {
--- a/src/admission/upstream_slots.cpp
+++ b/src/admission/upstream_slots.cpp
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 
+#include "global/hash.h"
+
 namespace buckthornhill::admission {
 upstream_slots::upstream_slots(ownership::upstream_description description, time_point now,
                                const admission_configuration& settings)
     : upstream(std::move(description))
+    , hash_of_id(hash_text(this->upstream.id.str()))
     , configuration(settings)
     , ramp_start(now)
     , own_peak(settings.load_report_lifetime)
--- a/src/admission/upstream_slots.h
+++ b/src/admission/upstream_slots.h
@@ -18,6 +18,8 @@
     //! Slots usable now: the upstream's own, less slow start, sheds and what others seem to use.
     std::int64_t limit(time_point now) const;
     bool has_room(time_point now) const { return this->is_admitting && this->running < this->limit(now); }
+    //! Hash of the id, for rendezvous hashing.
+    std::uint64_t id_hash() const { return this->hash_of_id; }
     std::int64_t in_flight() const { return this->running; }
     bool admits() const { return this->is_admitting; }
     void set_admitting(time_point now, bool value);
@@ -33,6 +35,7 @@
     std::int64_t ramped(time_point now) const;
 
     ownership::upstream_description upstream;
+    std::uint64_t hash_of_id;
     admission_configuration configuration;
     time_point ramp_start;
     bool is_admitting = true;
--- /dev/null
+++ b/src/daemon/tests/translation_tests.cpp
@@ -0,0 +1,59 @@
+#include <catch2/catch.hpp>
+
+#include "daemon/request_translation.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::daemon;
+
+namespace {
+http::call_result answer_with(const http::header_list& headers, unsigned status = 200)
+{
+    http::call_result call;
+    call.status = http::call_status::complete;
+    call.was_sent = true;
+    call.response = {status, headers, "body"};
+    return call;
+}
+
+bool has_header(const http::header_list& headers, std::string_view name)
+{
+    return !http::find_header(headers, name).empty();
+}
+} // namespace
+
+SCENARIO("an answer to another request is no answer", "[daemon]")
+{
+    // [GIVEN] Answers of an upstream that echoes ids, and of one that does not
+    const auto own = upstream_result_of(answer_with({{"Request-Id", "a-1-1"}}), "a-1-1");
+    const auto crossed = upstream_result_of(answer_with({{"Request-Id", "a-2-1"}}), "a-1-1");
+    const auto silent = upstream_result_of(answer_with({}), "a-1-1");
+    // [THEN] The crossed one is not passed on, and it does not count as a crash
+    REQUIRE(own.answer->body == "body");
+    REQUIRE(crossed.answer == nullptr);
+    REQUIRE(crossed.status == node::attempt_status::timed_out);
+    REQUIRE(silent.status == node::attempt_status::complete);
+}
+
+SCENARIO("only a marked 503 says that the request was not run", "[daemon]")
+{
+    REQUIRE(upstream_result_of(answer_with({{"Upstream-Shed", "1"}}, 503), "x").is_shed);
+    REQUIRE_FALSE(upstream_result_of(answer_with({}, 503), "x").is_shed);
+    REQUIRE_FALSE(upstream_result_of(answer_with({{"Upstream-Shed", "1"}}, 200), "x").is_shed);
+}
+
+SCENARIO("headers of the instances stay among them", "[daemon]")
+{
+    // [GIVEN] A request with headers of every kind
+    http::http_request request{"POST", "/orderdesk/a", {}, "x"};
+    request.headers = {{"bth-class", "within-quota"}, {"BTH-Peer-Key", "k"}, {"Upstream-Load", "9"},
+                       {"Request-Id", "forged"},      {"Host", "h"},         {"Order-Id", "o"}};
+    const auto now = std::chrono::steady_clock::now();
+    // [WHEN] It goes to an upstream [THEN] its own headers go along, those of the system do not
+    const auto sent = upstream_request_of(request, now, now + std::chrono::milliseconds(500), "id-1");
+    REQUIRE(http::find_header(sent.headers, "Order-Id") == "o");
+    REQUIRE(http::find_header(sent.headers, "Request-Id") == "id-1");
+    REQUIRE(http::find_header(sent.headers, "Upstream-Deadline-Ms") == "500");
+    REQUIRE_FALSE(has_header(sent.headers, "Bth-Class"));
+    REQUIRE_FALSE(has_header(sent.headers, "Bth-Peer-Key"));
+    REQUIRE_FALSE(has_header(sent.headers, "Upstream-Load"));
+}
--- a/src/node/request_coordinator.cpp
+++ b/src/node/request_coordinator.cpp
@@ -199,7 +199,7 @@
     const upstream_id* best = nullptr;
     std::uint64_t best_weight = 0;
     for (const auto& id : service->second) {
-        const auto weight = hash_text(id.str(), flow.facts.print.value());
+        const auto weight = rendezvous_weight(hash_text(id.str()), flow.facts.print.value());
         const auto* upstream = this->slices.directory.find(id);
         const bool is_usable = !upstream->is_leaving && !this->slices.gate.is_drained(*upstream);
         if (is_usable && (best == nullptr || weight > best_weight)) {
@@ -220,7 +220,10 @@
     if (flow.facts.is_idempotent && kind == peer_request_kind::admit) {
         const auto expected = this->slices.selector.expected_answer_time(peer.id, flow.facts.service);
         const auto patience = std::max<duration>(expected * late_answer_factor, min_late_answer_time);
-        this->late_checks.emplace(now + patience, std::pair(flow.facts.flow, flow.attempt));
+        //! NOTE Without a measured service time no answer can be called late.
+        if (expected > duration{}) {
+            this->late_checks.emplace(now + patience, std::pair(flow.facts.flow, flow.attempt));
+        }
     }
     this->outbox.push_back(start_peer_action{flow.facts.flow, flow.attempt, kind, peer.id, peer.peer_address,
                                              flow.priority, deadline});
--- a/src/node/service_directory.cpp
+++ b/src/node/service_directory.cpp
@@ -12,7 +12,8 @@
         this->by_id.emplace(upstream.id, upstream);
         this->by_service[upstream.service].push_back(upstream.id);
         if (!upstream.is_leaving) {
-            this->by_place[{upstream.service, upstream.region}].push_back(upstream.id);
+            this->by_place[{upstream.service, upstream.region}].emplace_back(upstream.id,
+                                                                             hash_text(upstream.id.str()));
         }
     }
 }
@@ -32,8 +33,8 @@
     }
     const upstream_id* best = nullptr;
     std::uint64_t best_weight = 0;
-    for (const auto& id : place->second) {
-        const auto weight = hash_text(id.str(), affinity);
+    for (const auto& [id, id_hash] : place->second) {
+        const auto weight = rendezvous_weight(id_hash, affinity);
         if (best == nullptr || weight > best_weight) {
             best = &id;
             best_weight = weight;
--- a/src/steering/owner_selector.cpp
+++ b/src/steering/owner_selector.cpp
@@ -278,6 +278,9 @@
     }
     const auto& state = found->second.owners.at(owner);
     const std::chrono::microseconds mean(state.report.mean_service_us);
+    if (mean.count() == 0) {
+        return {};
+    }
     return this->wait_at(state) + mean + this->distance_to(owner, state);
 }
 
--- a/src/steering/owner_selector.h
+++ b/src/steering/owner_selector.h
@@ -28,7 +28,7 @@
                            const std::set<instance_id>& tried);
     //! Remote slots that this instance could use now, for the next heartbeat.
     std::int64_t wanted_credits(time_point now, const service_id& service);
-    //! Wait, service and distance as last reported.
+    //! Wait, service and distance as last reported; 0 while no service time has been measured.
     duration expected_answer_time(const instance_id& owner, const service_id& service) const;
     bool is_shifting(const service_id& service) const;
 
--- a/tests/processes/failure_tests.cpp
+++ b/tests/processes/failure_tests.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "deployment.h"
+#include "http/blocking_call.h"
 #include "order_audit.h"
 
 using namespace buckthornhill;
@@ -109,6 +110,51 @@
     REQUIRE(run.report.total().unknown == 0);
 }
 
+SCENARIO("the store is down from the start", "[process]")
+{
+    // [GIVEN] Instances that start while the store is down
+    testing::deployment_options options;
+    options.file = bureau;
+    options.daemon_flags = quick_detection;
+    options.starts_with_store_down = true;
+    deployment system(options);
+    system.register_instances();
+    const auto& entry = system.daemons()[0];
+    // [WHEN] A caller comes [THEN] it is refused honestly, since nobody knows the lists
+    const auto early = system.call(entry.caller_address, "GET", "/queuedesk/item/1");
+    REQUIRE(early.status == 503);
+    REQUIRE(http::find_header(early.headers, "Bth-Outcome") == "not-executed");
+    REQUIRE(http::find_header(early.headers, "Bth-Reason") == "resynchronizing");
+    // [WHEN] The store comes back [THEN] all instances serve
+    system.set_store_faults("{}");
+    REQUIRE(system.wait_until_ready());
+    REQUIRE(system.wait_until(
+        [&] { return system.call(entry.caller_address, "GET", "/queuedesk/item/1").status == 200; },
+        milliseconds(5000)));
+}
+
+SCENARIO("a caller that leaves frees the slot of its look-up", "[process]")
+{
+    // [GIVEN] A look-up that takes a second
+    const auto system = start_bureau(1000000);
+    const auto are_all_cancelled = [&system] {
+        const auto counts = boost::json::parse(system->call_upstreams("GET", "/control/counts").body);
+        std::uint64_t runs = 0;
+        std::uint64_t cancelled = 0;
+        for (const auto& member : counts.as_object()) {
+            runs += member.value().at("runs").to_number<std::uint64_t>();
+            cancelled += member.value().at("cancelled").to_number<std::uint64_t>();
+        }
+        return runs > 0 && runs == cancelled;
+    };
+    // [WHEN] Its caller closes the connection after 200 ms
+    const auto result = http::call_and_wait(http::parse_endpoint(system->daemons()[0].caller_address),
+                                            {"GET", "/queuedesk/item/1", {}, ""}, milliseconds(200));
+    REQUIRE(result.status == http::call_status::timed_out);
+    // [THEN] Every upstream that ran it, late tries included, is told and stops before it is done
+    REQUIRE(system->wait_until(are_all_cancelled, milliseconds(700)));
+}
+
 SCENARIO("a replaced instance starts while the store is down", "[process]")
 {
     // [GIVEN] A running deployment whose store is down after a list was accepted
