--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -47,19 +47,22 @@
     });
 }
 
+bool client_connection::has_ended(const boost::system::error_code& failure)
+{
+    if (this->is_busy && failure) {
+        this->finish(call_status::broken, failure.message());
+    }
+    return !this->is_busy;
+}
+
 void client_connection::write()
 {
     this->was_sent = true;
     beast_http::async_write(this->socket, *this->outgoing,
                             [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
-                                if (!self->is_busy) {
-                                    return;
-                                }
-                                if (failure) {
-                                    self->finish(call_status::broken, failure.message());
-                                    return;
+                                if (!self->has_ended(failure)) {
+                                    self->read();
                                 }
-                                self->read();
                             });
 }
 
@@ -69,14 +72,9 @@
     this->parser->body_limit(this->max_body_bytes);
     beast_http::async_read(this->socket, this->buffer, *this->parser,
                            [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
-                               if (!self->is_busy) {
-                                   return;
-                               }
-                               if (failure) {
-                                   self->finish(call_status::broken, failure.message());
-                                   return;
+                               if (!self->has_ended(failure)) {
+                                   self->finish_with_response();
                                }
-                               self->finish_with_response();
                            });
 }
 
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -39,6 +39,8 @@
     call_handler handler;
 
 private:
+    //! The call is over: it was given up on, or the step that just ended failed.
+    bool has_ended(const boost::system::error_code& failure);
     void write();
     void read();
     void finish(call_status status, const std::string& detail);
