--- a/buildscripts/module.cmake
+++ b/buildscripts/module.cmake
@@ -10,6 +10,9 @@
 
 # bth_tests(NAME SOURCES ... DEPENDS ...): the module's Catch2 tests as one ctest entry.
 function(bth_tests name)
+    if(NOT BTH_WITH_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${name}_tests ${ARG_SOURCES})
     target_link_libraries(${name}_tests PRIVATE bth_catch_main ${ARG_DEPENDS})
--- a/src/daemon/daemon_configuration.h
+++ b/src/daemon/daemon_configuration.h
@@ -6,7 +6,7 @@
 #include "global/log.h"
 #include "http/http_types.h"
 #include "node/node_types.h"
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 //! The entry instance's process: listeners, outgoing calls, threads and their rings.
 namespace buckthornhill::daemon {
@@ -24,7 +24,7 @@
     std::chrono::milliseconds default_deadline{5000};
     std::chrono::milliseconds max_deadline{60000};
     node::node_configuration node;
-    platform::watcher_configuration watcher;
+    store::watcher_configuration watcher;
     log::log_configuration log;
     double availability_objective = 0.999;
     std::chrono::milliseconds latency_objective{250};
--- a/src/daemon/daemon_module.cpp
+++ b/src/daemon/daemon_module.cpp
@@ -11,18 +11,18 @@
 #include <boost/json.hpp>
 #include <prometheus/registry.h>
 
-#include "daemon/operations_service.h"
 #include "daemon/request_engine.h"
 #include "daemon/request_metrics.h"
 #include "global/bounded_ring.h"
 #include "global/log.h"
-#include "platform/document_watcher.h"
+#include "operations/operations_service.h"
+#include "store/document_watcher.h"
 
 namespace buckthornhill::daemon {
 namespace asio = boost::asio;
 
 namespace {
-constexpr std::size_t platform_ring_capacity = 64;
+constexpr std::size_t store_ring_capacity = 64;
 constexpr std::size_t status_ring_capacity = 64;
 constexpr int exit_interrupted = 130;
 constexpr unsigned incarnation_random_bits = 12;
@@ -55,8 +55,8 @@
         : configuration(with_incarnation(settings))
         , registry(std::make_shared<prometheus::Registry>())
         , metrics(*this->registry, settings.self.region)
-        , platform_ring(platform_ring_capacity,
-                        [this] { asio::post(this->request_context, [this] { this->drain_platform(); }); })
+        , store_ring(store_ring_capacity,
+                     [this] { asio::post(this->request_context, [this] { this->drain_store(); }); })
         , query_ring(status_ring_capacity,
                      [this] { asio::post(this->request_context, [this] { this->drain_queries(); }); })
         , answer_ring(status_ring_capacity,
@@ -64,31 +64,32 @@
         , engine(this->request_context, this->configuration, this->metrics, make_random(),
                  [this] { asio::post(this->main_context, [this] { this->main_context.stop(); }); })
         , watcher(
-              this->platform_context, this->configuration.store, this->configuration.watcher,
-              [this](platform::platform_event event) { return this->platform_ring.push(std::move(event)); },
+              this->store_context, this->configuration.store, this->configuration.watcher,
+              [this](store::store_event event) { return this->store_ring.push(std::move(event)); },
               make_random())
-        , operations(this->operations_context, this->configuration.operations_listen, this->registry,
-                     [this](status_query query) { return this->query_ring.push(query); })
+        , operations_listener(this->operations_context, this->configuration.operations_listen, this->registry,
+                              [this](operations::status_query query) { return this->query_ring.push(query); })
         , signals(this->main_context, SIGTERM, SIGINT)
     {
     }
 
-    void drain_platform()
+    void drain_store()
     {
-        this->platform_ring.drain(
-            [this](const platform::platform_event& event) { this->engine.on_platform_event(event); });
+        this->store_ring.drain(
+            [this](const store::store_event& event) { this->engine.on_store_event(event); });
     }
 
     void drain_queries()
     {
-        this->query_ring.drain([this](const status_query& query) {
-            this->answer_ring.push(status_answer{query.number, this->engine.status()});
+        this->query_ring.drain([this](const operations::status_query& query) {
+            this->answer_ring.push(operations::status_answer{query.number, this->engine.status()});
         });
     }
 
     void drain_answers()
     {
-        this->answer_ring.drain([this](const status_answer& answer) { this->operations.on_answer(answer); });
+        this->answer_ring.drain(
+            [this](const operations::status_answer& answer) { this->operations_listener.on_answer(answer); });
     }
 
     void await_signal()
@@ -113,14 +114,14 @@
     request_metrics metrics;
     asio::io_context main_context;
     asio::io_context request_context;
-    asio::io_context platform_context;
+    asio::io_context store_context;
     asio::io_context operations_context;
-    bounded_ring<platform::platform_event> platform_ring;
-    bounded_ring<status_query> query_ring;
-    bounded_ring<status_answer> answer_ring;
+    bounded_ring<store::store_event> store_ring;
+    bounded_ring<operations::status_query> query_ring;
+    bounded_ring<operations::status_answer> answer_ring;
     request_engine engine;
-    platform::document_watcher watcher;
-    operations_service operations;
+    store::document_watcher watcher;
+    operations::operations_service operations_listener;
     asio::signal_set signals;
     bool is_leaving = false;
     int exit_code = 0;
@@ -142,7 +143,7 @@
                            {"domain", self.domain.str()},
                            {"peer_address", self.peer_address},
                            {"caller_address", self.caller_address},
-                           {"operations_address", this->state->operations.local_endpoint().str()}});
+                           {"operations_address", this->state->operations_listener.local_endpoint().str()}});
 }
 
 int daemon_module::run()
@@ -152,14 +153,14 @@
     parts.engine.start();
     parts.watcher.start();
     std::thread request_thread([&parts] { parts.request_context.run(); });
-    std::thread platform_thread([&parts] { parts.platform_context.run(); });
+    std::thread store_thread([&parts] { parts.store_context.run(); });
     std::thread operations_thread([&parts] { parts.operations_context.run(); });
     parts.main_context.run();
     parts.request_context.stop();
-    parts.platform_context.stop();
+    parts.store_context.stop();
     parts.operations_context.stop();
     request_thread.join();
-    platform_thread.join();
+    store_thread.join();
     operations_thread.join();
     log::info("daemon", "Stopped.");
     return parts.exit_code;
--- a/src/daemon/request_engine.cpp
+++ b/src/daemon/request_engine.cpp
@@ -43,6 +43,13 @@
     return response;
 }
 
+//! A resend may be malformed while its original ran, so only a request without a ticket is certain.
+void complete_rejection(http::http_response& response, const http::header_list* received)
+{
+    const bool has_no_ticket = received != nullptr && http::find_header(*received, headers::ticket).empty();
+    response.headers.emplace_back(std::string(headers::outcome), has_no_ticket ? "not-executed" : "unknown");
+}
+
 std::string request_id_of(const instance_id& self, flow_id flow, std::uint64_t attempt)
 {
     return self.str() + "-" + std::to_string(flow.value()) + "-" + std::to_string(attempt);
@@ -75,6 +82,7 @@
     this->callers = std::make_unique<http::http_server>(
         io, settings.caller_listen, settings.caller_limits,
         [this](const http::exchange_ptr& exchange) { this->on_caller(exchange); });
+    this->callers->on_rejection(complete_rejection);
     this->peers = std::make_unique<http::http_server>(
         io, settings.peer_listen, settings.peer_limits,
         [this](const http::exchange_ptr& exchange) { this->on_peer(exchange); });
@@ -257,9 +265,9 @@
     this->run_actions();
 }
 
-void request_engine::on_platform_event(const platform::platform_event& event)
+void request_engine::on_store_event(const store::store_event& event)
 {
-    if (event.kind == platform::platform_event::event_kind::all_read) {
+    if (event.kind == store::store_event::event_kind::all_read) {
         this->node->on_store_confirmed(now());
         this->run_actions();
         return;
@@ -415,10 +423,10 @@
     this->client->send(http::parse_endpoint(action.address), std::move(request), now() + peer_message_timeout,
                        http::connection_choice::reuse,
                        [this, name = action.name](const http::call_result& result) {
-                           const auto version = platform::version_in(result.response);
+                           const auto version = store::version_in(result.response);
                            if (result.status == http::call_status::complete && version > object_version{}) {
-                               this->on_platform_event({platform::platform_event::event_kind::document, name,
-                                                        version, result.response.body});
+                               this->on_store_event({store::store_event::event_kind::document, name, version,
+                                                     result.response.body});
                            }
                        });
 }
--- a/src/daemon/request_engine.h
+++ b/src/daemon/request_engine.h
@@ -11,7 +11,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "node/entry_node.h"
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 namespace boost::asio {
 class io_context;
@@ -34,7 +34,7 @@
 
     const membership::member_description& self() const { return this->configuration.self; }
     void start();
-    void on_platform_event(const platform::platform_event& event);
+    void on_store_event(const store::store_event& event);
     void begin_leave();
     //! State for operators, as JSON.
     std::string status();
--- a/src/daemon/request_translation.cpp
+++ b/src/daemon/request_translation.cpp
@@ -6,6 +6,7 @@
 
 #include "daemon/protocol_headers.h"
 #include "global/hash.h"
+#include "http/hop_headers.h"
 #include "peers/heartbeat_codec.h"
 #include "requests/requests_errors.h"
 
@@ -35,30 +36,20 @@
     return a.size() == b.size() && starts_with_ignoring_case(a, b);
 }
 
-//! Headers that end at this hop, or that only the instances themselves may set.
-bool is_hop_header(std::string_view name)
+//! Headers that only the instances themselves may set.
+bool is_own_header(std::string_view name)
 {
-    static constexpr std::string_view hop_headers[] = {
-        "Connection", "Keep-Alive", "Transfer-Encoding",   "Content-Length",     "TE",    "Trailer",
-        "Upgrade",    "Host",       "Proxy-Authorization", "Proxy-Authenticate", "Expect"};
-    if (starts_with_ignoring_case(name, own_header_prefix) || starts_with_ignoring_case(name, "Upstream-")) {
-        return true;
-    }
-    for (const auto hop : hop_headers) {
-        if (equals_ignoring_case(name, hop)) {
-            return true;
-        }
-    }
-    return equals_ignoring_case(name, headers::request_id);
+    return starts_with_ignoring_case(name, own_header_prefix) ||
+           starts_with_ignoring_case(name, "Upstream-") || equals_ignoring_case(name, "Host") ||
+           equals_ignoring_case(name, headers::request_id);
 }
 
 void copy_end_to_end(const http::header_list& from, http::header_list& to)
 {
-    for (const auto& header : from) {
-        if (!is_hop_header(header.first)) {
-            to.push_back(header);
-        }
-    }
+    http::header_list passed;
+    http::copy_end_to_end(from, passed);
+    std::erase_if(passed, [](const auto& header) { return is_own_header(header.first); });
+    to.insert(to.end(), passed.begin(), passed.end());
 }
 
 std::int64_t number_in(std::string_view text, std::int64_t fallback)
--- /dev/null
+++ b/src/fleet/fleet_types.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "global/ids.h"
+#include "global/place.h"
+#include "global/units.h"
+
+//! Which upstreams exist and which of them may get requests.
+namespace buckthornhill::fleet {
+//! What an upstream registered about itself.
+struct upstream_entry
+{
+    upstream_id id;
+    std::uint64_t started_at_ms = 0; //!< tells apart two runs under one id
+    service_id service;
+    std::string address; //!< `address:port`
+    place where;
+    slot_count slots;
+    bool is_leaving = false;
+    std::chrono::milliseconds cold_left{0}; //!< how much longer it bears only few requests
+};
+} // namespace buckthornhill::fleet
--- /dev/null
+++ b/src/fleet/tests/upstream_roster_tests.cpp
@@ -0,0 +1,122 @@
+#include <catch2/catch.hpp>
+
+#include "fleet/upstream_roster.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::fleet;
+using std::chrono::milliseconds;
+
+namespace {
+const service_id orders("orders");
+
+upstream_entry make_entry(const std::string& id, std::uint64_t started_at_ms = 1)
+{
+    upstream_entry entry;
+    entry.id = upstream_id(id);
+    entry.started_at_ms = started_at_ms;
+    entry.service = orders;
+    entry.address = "10.0.0.1:80";
+    entry.where = {region_id("r"), domain_id("d")};
+    entry.slots = slot_count(3);
+    return entry;
+}
+
+upstream_entry leaving(upstream_entry entry)
+{
+    entry.is_leaving = true;
+    return entry;
+}
+} // namespace
+
+TEST_CASE("[GIVEN] an upstream seen leaving [WHEN] old news calls it ready [THEN] that run stays unused",
+          "[fleet]")
+{
+    upstream_roster roster{roster_configuration{}};
+    const time_point now{};
+    roster.upsert(now, make_entry("u1", 7));
+    CHECK(roster.usable(orders).size() == 1);
+
+    roster.upsert(now, leaving(make_entry("u1", 7)));
+    roster.upsert(now, make_entry("u1", 7));
+    CHECK(roster.usable(orders).empty());
+
+    roster.remove(now, upstream_id("u1"), false);
+    roster.upsert(now, make_entry("u1", 7));
+    CHECK(roster.usable(orders).empty());
+
+    roster.upsert(now, make_entry("u1", 8));
+    CHECK(roster.usable(orders).size() == 1);
+}
+
+TEST_CASE(
+    "[GIVEN] a store back from an outage [WHEN] an entry is missing [THEN] it is used for the grace only",
+    "[fleet]")
+{
+    upstream_roster roster{roster_configuration{}};
+    const time_point now{};
+    roster.replace_all(now, {make_entry("u1"), make_entry("u2")}, false);
+
+    roster.replace_all(now, {make_entry("u2")}, true);
+    CHECK(roster.usable(orders).size() == 2);
+
+    SECTION("it comes back")
+    {
+        roster.upsert(now + milliseconds(1000), make_entry("u1"));
+        roster.on_tick(now + milliseconds(5000));
+        CHECK(roster.usable(orders).size() == 2);
+    }
+    SECTION("it stays missing")
+    {
+        roster.replace_all(now + milliseconds(1500), {make_entry("u2")}, true);
+        roster.on_tick(now + milliseconds(1900));
+        CHECK(roster.usable(orders).size() == 1);
+    }
+}
+
+TEST_CASE("[GIVEN] a calm store [WHEN] an entry is removed [THEN] it is unused at once", "[fleet]")
+{
+    upstream_roster roster{roster_configuration{}};
+    const time_point now{};
+    roster.replace_all(now, {make_entry("u1")}, false);
+    const auto epoch = roster.epoch();
+    roster.remove(now, upstream_id("u1"), false);
+    CHECK(roster.usable(orders).empty());
+    CHECK(roster.epoch() > epoch);
+}
+
+TEST_CASE("[GIVEN] an evacuated failure domain [WHEN] it is taken back [THEN] its upstreams are used again",
+          "[fleet]")
+{
+    upstream_roster roster{roster_configuration{}};
+    const time_point now{};
+    roster.upsert(now, make_entry("u1"));
+    roster.set_evacuated({domain_id("d")});
+    CHECK(roster.find_usable(upstream_id("u1")) == nullptr);
+    roster.set_evacuated({});
+    CHECK(roster.find_usable(upstream_id("u1")) != nullptr);
+}
+
+TEST_CASE("[GIVEN] an address that answered as another upstream [WHEN] it registers anew [THEN] it is used",
+          "[fleet]")
+{
+    upstream_roster roster{roster_configuration{}};
+    const time_point now{};
+    roster.upsert(now, make_entry("u1", 1));
+    roster.on_misdirected(upstream_id("u1"));
+    CHECK(roster.usable(orders).empty());
+    roster.upsert(now, make_entry("u1", 1));
+    CHECK(roster.usable(orders).empty());
+    roster.upsert(now, make_entry("u1", 2));
+    CHECK(roster.usable(orders).size() == 1);
+}
+
+TEST_CASE("[GIVEN] a cold upstream [WHEN] its time has passed [THEN] it is warm", "[fleet]")
+{
+    upstream_roster roster{roster_configuration{}};
+    const time_point now{};
+    auto entry = make_entry("u1");
+    entry.cold_left = milliseconds(3000);
+    roster.upsert(now, entry);
+    CHECK(roster.is_cold(now + milliseconds(2999), upstream_id("u1")));
+    CHECK_FALSE(roster.is_cold(now + milliseconds(3000), upstream_id("u1")));
+}
--- /dev/null
+++ b/src/gateway/fleet_view.cpp
@@ -0,0 +1,149 @@
+#include "gateway/fleet_view.h"
+
+#include "gateway/news_codec.h"
+#include "global/error.h"
+#include "global/log.h"
+
+namespace buckthornhill::gateway {
+using store::collection;
+
+namespace {
+constexpr std::string_view log_part = "view";
+constexpr std::size_t max_logged_bytes = 400; //!< of an object that cannot be read
+} // namespace
+
+fleet_view::fleet_view(const gateway_dialect& spelling, proxy::proxy_core& decisions)
+    : dialect(spelling)
+    , core(decisions)
+{
+    for (const auto which : store::all_collections) {
+        this->mirrors[which];
+    }
+}
+
+bool fleet_view::apply(time_point now, const store::collection_update& update)
+{
+    if (!this->mirrors.at(update.which).apply(update)) {
+        return false;
+    }
+    switch (update.which) {
+    case collection::configuration:
+        this->apply_configuration();
+        break;
+    case collection::upstreams:
+        this->apply_upstreams(now, update);
+        break;
+    case collection::evacuations:
+        this->apply_evacuations();
+        break;
+    case collection::instances:
+        break;
+    }
+    return true;
+}
+
+void fleet_view::apply_configuration()
+{
+    for (const auto& [name, object] : this->mirrors.at(collection::configuration).objects()) {
+        try {
+            auto fresh = this->dialect.decode_configuration(object.text);
+            const auto version = fresh.version;
+            const auto routes = fresh.routes.size();
+            if (this->core.on_configuration(std::move(fresh))) {
+                log::event(log_part, "configuration_in_force",
+                           {{"version", version.value()},
+                            {"routes", routes},
+                            {"store_version", object.version.value()}});
+            }
+        } catch (const buckthornhill::error& failure) {
+            log::event(log_part, "configuration_rejected",
+                       {{"store_version", object.version.value()}, {"reason", failure.what()}});
+        }
+    }
+}
+
+std::optional<fleet::upstream_entry> fleet_view::decode_upstream(const store::stored_object& object) const
+{
+    try {
+        return this->dialect.decode_upstream(object.name, object.text);
+    } catch (const buckthornhill::error& failure) {
+        log::event(log_part, "upstream_entry_unreadable",
+                   {{"upstream", object.name},
+                    {"reason", failure.what()},
+                    {"object", object.text.substr(0, max_logged_bytes)}});
+        return std::nullopt;
+    }
+}
+
+void fleet_view::apply_upstreams(time_point now, const store::collection_update& update)
+{
+    auto& roster = this->core.upstreams();
+    if (update.is_whole) {
+        std::vector<fleet::upstream_entry> entries;
+        for (const auto& change : update.changes) {
+            if (auto entry = this->decode_upstream(change.object)) {
+                entries.push_back(std::move(*entry));
+            }
+        }
+        roster.replace_all(now, entries, update.after_outage);
+        log::event(log_part, "upstreams_listed",
+                   {{"count", entries.size()}, {"store_version", update.at.value()}});
+        return;
+    }
+    for (const auto& change : update.changes) {
+        const upstream_id id(change.object.name);
+        const auto entry = change.is_removed ? std::nullopt : this->decode_upstream(change.object);
+        if (entry) {
+            roster.upsert(now, *entry);
+        } else {
+            roster.remove(now, id, change.is_removed && update.after_outage);
+        }
+        log::event(log_part, "upstream_changed",
+                   {{"upstream", id.str()},
+                    {"state", !entry              ? "removed"
+                              : entry->is_leaving ? "leaving"
+                                                  : "ready"},
+                    {"cold_left_ms", entry ? entry->cold_left.count() : 0},
+                    {"store_version", update.at.value()}});
+    }
+}
+
+void fleet_view::apply_evacuations()
+{
+    std::set<domain_id> domains;
+    for (const auto& [name, object] : this->mirrors.at(collection::evacuations).objects()) {
+        domains.insert(domain_id(name));
+    }
+    this->core.upstreams().set_evacuated(domains);
+}
+
+bool fleet_view::is_complete() const
+{
+    return this->core.routes().has_configuration() && this->mirrors.at(collection::upstreams).is_known() &&
+           this->mirrors.at(collection::evacuations).is_known();
+}
+
+std::map<collection, object_version> fleet_view::changed_at() const
+{
+    std::map<collection, object_version> versions;
+    for (const auto& [which, mirror] : this->mirrors) {
+        if (mirror.is_known()) {
+            versions[which] = mirror.changed_at();
+        }
+    }
+    return versions;
+}
+
+std::vector<membership::member_description> fleet_view::registered_instances() const
+{
+    std::vector<membership::member_description> members;
+    for (const auto& [name, object] : this->mirrors.at(collection::instances).objects()) {
+        try {
+            members.push_back(decode_registration(this->dialect.store.body_of(object.text)));
+        } catch (const buckthornhill::error& failure) {
+            log::event(log_part, "registration_unreadable", {{"name", name}, {"reason", failure.what()}});
+        }
+    }
+    return members;
+}
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/gateway_dialect.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet_types.h"
+#include "http/http_types.h"
+#include "routing/routing_types.h"
+#include "store/collection_types.h"
+
+namespace buckthornhill::gateway {
+//! What a caller's request says beside its method, target and body.
+struct caller_terms
+{
+    std::string request_id;
+    std::string object;                                 //!< that the request is about; empty when unnamed
+    std::optional<std::chrono::milliseconds> time_left; //!< that the caller goes on waiting
+};
+
+//! What an upstream's response says beside its status and body.
+struct upstream_terms
+{
+    std::string request_id;       //!< of the request that it answers; empty when the upstream did not say
+    bool is_not_executed = false; //!< the upstream did not run the request
+    bool is_misdirected = false;  //!< another upstream has this address
+    bool is_authentic = true;     //!< false for a success that lacks the upstream's signature
+    bool has_load = false;
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+};
+
+struct lookup_query
+{
+    region_id region;
+    domain_id domain;
+};
+
+//! How the platform spells what the gateway says and hears. An adapter fills it in; every hook is pure, and
+//! those that decode throw `buckthornhill::error` for what they cannot read.
+struct gateway_dialect
+{
+    std::function<caller_terms(const http::http_request&)> read_request;
+    std::function<void(http::http_request&, std::chrono::milliseconds time_left, const upstream_id&)>
+        address_to_upstream;
+    std::function<upstream_terms(const http::http_response&)> read_response;
+    //! An answer that promises that the request did not run and never will.
+    std::function<http::http_response(std::chrono::milliseconds retry_after)> write_refusal;
+    std::function<bool(const http::http_request&)> is_readiness_check;
+    std::function<std::optional<lookup_query>(const http::http_request&)> read_lookup;
+    std::function<http::http_response(const std::vector<std::string>& addresses,
+                                      std::chrono::milliseconds ttl)>
+        write_lookup;
+    std::function<routing::routing_configuration(const std::string& object)> decode_configuration;
+    std::function<fleet::upstream_entry(const std::string& name, const std::string& object)> decode_upstream;
+    store::store_dialect store;
+};
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/gateway_engine.cpp
@@ -0,0 +1,472 @@
+#include "gateway/gateway_engine.h"
+
+#include <algorithm>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include "gateway/gateway_metrics.h"
+#include "global/error.h"
+#include "global/hash.h"
+#include "global/log.h"
+#include "http/hop_headers.h"
+
+namespace buckthornhill::gateway {
+namespace {
+constexpr std::string_view log_part = "requests";
+constexpr std::chrono::milliseconds tick_interval{20};
+constexpr std::chrono::seconds gauge_interval{1};
+constexpr std::size_t descriptors_for_files = 200;  //!< kept back by the platform
+constexpr std::size_t descriptors_for_others = 300; //!< peers, upstreams, the store, look-ups
+constexpr std::size_t max_lookup_connections = 512;
+constexpr std::chrono::milliseconds default_time_left{5000}; //!< when the caller does not say
+constexpr unsigned status_malformed = 400;
+constexpr unsigned status_no_route = 404;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+constexpr unsigned first_failure_status = 300;
+constexpr unsigned first_server_failure_status = 500;
+//! Of the grace after the signal to stop; then the process ends with what is still in progress.
+constexpr double usable_grace = 0.8;
+constexpr int longest_cache = 3; //!< times the time that a look-up answer allows
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+http::http_response plain_response(unsigned status, std::string text)
+{
+    http::http_response response;
+    response.status = status;
+    response.headers.emplace_back("Content-Type", "text/plain");
+    response.body = std::move(text) + "\n";
+    return response;
+}
+
+std::string host_of(const http::http_request& request)
+{
+    const auto host = http::find_header(request.headers, "Host");
+    return std::string(host.substr(0, host.find(':')));
+}
+
+http::client_limits upstream_limits(const gateway_settings& settings)
+{
+    http::client_limits limits;
+    limits.idle_timeout = settings.upstream_idle;
+    limits.recent_idle = settings.proven_connection_age;
+    limits.connect_timeout = settings.upstream_connect_timeout;
+    limits.unacknowledged_timeout = settings.unacknowledged_timeout;
+    return limits;
+}
+
+http::server_limits caller_limits_of(const gateway_settings& settings, const routing::caller_limits& limits)
+{
+    http::server_limits bounds;
+    bounds.max_header_bytes = limits.max_header_bytes;
+    bounds.max_body_bytes = limits.max_body_bytes;
+    bounds.request_timeout = limits.header_timeout;
+    bounds.idle_timeout = limits.idle_timeout;
+    const auto reserved = descriptors_for_files + descriptors_for_others;
+    bounds.max_connections = settings.max_descriptors > 2 * reserved ? settings.max_descriptors - reserved
+                                                                     : settings.max_descriptors / 2;
+    return bounds;
+}
+
+proxy::send_outcome outcome_of(const http::call_result& result, const upstream_terms& terms)
+{
+    proxy::send_outcome outcome;
+    switch (result.status) {
+    case http::call_status::complete:
+        outcome.status = proxy::send_status::complete;
+        break;
+    case http::call_status::connect_failed:
+        outcome.status = proxy::send_status::connect_failed;
+        return outcome;
+    case http::call_status::timed_out:
+        outcome.status = proxy::send_status::timed_out;
+        return outcome;
+    case http::call_status::broken:
+    case http::call_status::cancelled:
+        return outcome;
+    }
+    //! NOTE A success without the upstream's signature is not its answer.
+    if (!terms.is_authentic) {
+        outcome.status = proxy::send_status::broken;
+        return outcome;
+    }
+    outcome.is_not_executed = terms.is_not_executed;
+    outcome.is_misdirected = terms.is_misdirected;
+    outcome.is_success = result.response.status < first_failure_status;
+    outcome.is_server_failure = result.response.status >= first_server_failure_status;
+    outcome.has_load = terms.has_load;
+    outcome.running = terms.running;
+    outcome.waiting = terms.waiting;
+    return outcome;
+}
+} // namespace
+
+struct gateway_timer
+{
+    explicit gateway_timer(boost::asio::io_context& context)
+        : timer(context)
+    {
+    }
+
+    boost::asio::steady_timer timer;
+};
+
+gateway_engine::gateway_engine(boost::asio::io_context& context, const gateway_settings& wanted,
+                               const gateway_dialect& spelling, gateway_metrics& counters,
+                               const random_hook& random, hooks reactions)
+    : settings(wanted)
+    , dialect(spelling)
+    , metrics(counters)
+    , callbacks(std::move(reactions))
+    , core(wanted.where, wanted.proxy, random)
+    , view(spelling, this->core)
+    , timer(std::make_unique<gateway_timer>(context))
+    , upstreams(std::make_unique<http::http_client>(context, upstream_limits(wanted)))
+{
+    peer_circle::hooks peer_hooks;
+    peer_hooks.on_collection = [this](const store::collection_update& update) {
+        this->on_collection(update);
+    };
+    peer_hooks.on_behind = [this](store::collection which) { this->callbacks.on_behind(which); };
+    peer_hooks.on_members_changed = [this] { this->core.set_instances(now(), this->circle->live_count()); };
+    this->circle = std::make_unique<peer_circle>(context, wanted, this->view, random, std::move(peer_hooks));
+    this->callers = std::make_unique<http::http_server>(
+        context, wanted.callers, caller_limits_of(wanted, {}),
+        [this](const http::exchange_ptr& exchange) { this->on_caller(exchange); });
+    http::server_limits small;
+    small.max_connections = max_lookup_connections;
+    this->lookups = std::make_unique<http::http_server>(
+        context, wanted.lookups, small,
+        [this](const http::exchange_ptr& exchange) { this->on_lookup(exchange); });
+    this->readiness = std::make_unique<http::http_server>(
+        context, wanted.readiness, small,
+        [this](const http::exchange_ptr& exchange) { this->on_readiness(exchange); });
+}
+
+gateway_engine::~gateway_engine() = default;
+
+void gateway_engine::start()
+{
+    this->schedule_tick();
+}
+
+void gateway_engine::schedule_tick()
+{
+    this->timer->timer.expires_after(tick_interval);
+    this->timer->timer.async_wait([this](const boost::system::error_code& failure) {
+        if (failure || this->is_stopped) {
+            return;
+        }
+        this->on_tick();
+        this->schedule_tick();
+    });
+}
+
+void gateway_engine::on_tick()
+{
+    const auto time = now();
+    this->core.on_tick(time);
+    this->run_actions();
+    this->circle->on_tick(time);
+    this->advance_leave(time);
+    if (time >= this->next_gauges) {
+        this->next_gauges = time + gauge_interval;
+        this->update_gauges();
+    }
+}
+
+void gateway_engine::update_gauges()
+{
+    this->metrics.set_gauge("live_instances", static_cast<double>(this->circle->live_count()));
+    this->metrics.set_gauge("requests_in_progress", static_cast<double>(this->core.flow_count()));
+    this->metrics.set_gauge("requests_waiting", static_cast<double>(this->core.waiting_count()));
+    this->metrics.set_gauge("upstreams_known", static_cast<double>(this->core.upstreams().size()));
+}
+
+bool gateway_engine::is_serving() const
+{
+    return !this->is_leaving && this->circle->state() == membership::member_state::live;
+}
+
+void gateway_engine::on_store_event(const store::watcher_event& event)
+{
+    if (const auto* contact = std::get_if<store::contact_change>(&event)) {
+        this->circle->on_store_contact(contact->which, contact->is_in_contact);
+        log::event("view", contact->is_in_contact ? "store_in_contact" : "store_lost",
+                   {{"collection", store::to_string(contact->which)}, {"detail", contact->detail}});
+        return;
+    }
+    this->on_collection(std::get<store::collection_update>(event));
+}
+
+void gateway_engine::on_collection(const store::collection_update& update)
+{
+    const auto time = now();
+    if (!this->view.apply(time, update)) {
+        return;
+    }
+    if (update.which == store::collection::configuration) {
+        this->callers->set_limits(caller_limits_of(this->settings, this->core.routes().limits()));
+    }
+    if (update.which == store::collection::instances) {
+        this->circle->on_registered(time, this->view.registered_instances());
+    }
+    if (this->view.is_complete() && !this->is_leaving) {
+        this->circle->become_live(time);
+    }
+    this->core.on_tick(time);
+    this->run_actions();
+}
+
+void gateway_engine::on_readiness(const http::exchange_ptr& exchange)
+{
+    if (!this->dialect.is_readiness_check(exchange->request())) {
+        exchange->respond(plain_response(status_no_route, "no such call"));
+        return;
+    }
+    exchange->respond(this->is_serving() ? plain_response(200, "ready")
+                                         : plain_response(status_unavailable, "not ready"));
+}
+
+void gateway_engine::on_lookup(const http::exchange_ptr& exchange)
+{
+    const auto query = this->dialect.read_lookup(exchange->request());
+    if (!query) {
+        exchange->respond(plain_response(status_no_route, "no such call"));
+        return;
+    }
+    this->metrics.on_lookup();
+    const auto addresses = this->circle->addresses_for(query->region, query->domain);
+    if (addresses.empty()) {
+        exchange->respond(plain_response(status_unavailable, "no instance is ready"));
+        return;
+    }
+    exchange->respond(this->dialect.write_lookup(addresses, this->settings.lookup_ttl));
+}
+
+void gateway_engine::on_caller(const http::exchange_ptr& exchange)
+{
+    const auto time = now();
+    const flow_id flow = ++this->last_flow;
+    caller_terms terms;
+    try {
+        terms = this->dialect.read_request(exchange->request());
+    } catch (const buckthornhill::error& failure) {
+        exchange->respond(plain_response(status_malformed, failure.what()));
+        return;
+    }
+    proxy::request_facts facts;
+    facts.flow = flow;
+    facts.host = host_of(exchange->request());
+    facts.path = http::path_of(exchange->request().target);
+    facts.has_object = !terms.object.empty();
+    facts.object = placement::object_hash(facts.has_object ? hash_text(terms.object, hash_text(facts.host))
+                                                           : hash_text(terms.request_id));
+    facts.deadline = time + terms.time_left.value_or(default_time_left);
+    flow_io io;
+    io.exchange = exchange;
+    io.request_id = std::move(terms.request_id);
+    io.arrived_at = time;
+    if (const auto* route = this->core.routes().find(facts.host, facts.path)) {
+        io.route = route->name;
+    }
+    this->flows.emplace(flow, std::move(io));
+    exchange->on_cancelled([this, flow] {
+        this->core.on_cancelled(now(), flow);
+        this->run_actions();
+        if (this->core.find(flow) == nullptr) {
+            this->flows.erase(flow);
+        }
+    });
+    this->core.on_request(time, facts);
+    this->run_actions();
+}
+
+void gateway_engine::run_actions()
+{
+    for (auto actions = this->core.take_actions(); !actions.empty(); actions = this->core.take_actions()) {
+        for (const auto& action : actions) {
+            std::visit([this](const auto& chosen) { this->run(chosen); }, action);
+        }
+    }
+}
+
+void gateway_engine::run(const proxy::start_send_action& action)
+{
+    const auto found = this->flows.find(action.flow);
+    if (found == this->flows.end()) {
+        return;
+    }
+    auto& flow = found->second;
+    const auto& received = flow.exchange->request();
+    http::http_request request;
+    request.method = received.method;
+    request.target = received.target;
+    http::copy_end_to_end(received.headers, request.headers);
+    request.body = received.body;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(action.deadline - now());
+    this->dialect.address_to_upstream(request, std::max(left, std::chrono::milliseconds(1)), action.upstream);
+    http::call_terms terms;
+    terms.deadline = action.deadline;
+    terms.choice =
+        action.needs_proven_connection ? http::connection_choice::recent : http::connection_choice::reuse;
+    terms.accepts_unframed = true;
+    terms.is_expected = [this, id = flow.request_id](const http::http_response& response) {
+        const auto answered = this->dialect.read_response(response).request_id;
+        return answered.empty() || answered == id;
+    };
+    flow.upstream = action.upstream;
+    flow.send = action.send;
+    flow.call =
+        this->upstreams->send(http::parse_endpoint(action.address), std::move(request), std::move(terms),
+                              [this, id = action.flow, send = action.send](http::call_result result) {
+                                  this->on_upstream_result(id, send, std::move(result));
+                              });
+}
+
+void gateway_engine::on_upstream_result(flow_id id, std::uint64_t send, http::call_result result)
+{
+    const auto found = this->flows.find(id);
+    const bool is_current = found != this->flows.end() && found->second.send == send;
+    const auto terms = result.status == http::call_status::complete
+                           ? this->dialect.read_response(result.response)
+                           : upstream_terms{};
+    const auto outcome = outcome_of(result, terms);
+    if (is_current && outcome.status != proxy::send_status::complete) {
+        log::event(log_part, "send_failed",
+                   {{"request", found->second.request_id},
+                    {"send", send},
+                    {"upstream", found->second.upstream.str()},
+                    {"detail", result.detail}});
+    }
+    if (is_current) {
+        found->second.response = std::move(result.response);
+    }
+    this->core.on_send_outcome(now(), id, send, outcome);
+    this->run_actions();
+}
+
+void gateway_engine::run(const proxy::cancel_send_action& action)
+{
+    const auto found = this->flows.find(action.flow);
+    if (found != this->flows.end() && found->second.send == action.send) {
+        this->upstreams->cancel(found->second.call);
+        this->log_answer(found->second, "cancelled", "the caller left", 0);
+        this->flows.erase(found);
+    }
+}
+
+void gateway_engine::run(const proxy::deliver_action& action)
+{
+    const auto found = this->flows.find(action.flow);
+    if (found == this->flows.end()) {
+        return;
+    }
+    auto& kept = found->second.response;
+    http::http_response response;
+    response.status = kept.status;
+    http::copy_end_to_end(kept.headers, response.headers);
+    response.body = std::move(kept.body);
+    this->answer(action.flow, std::move(response), "answered", {});
+}
+
+void gateway_engine::run(const proxy::refuse_action& action)
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(action.retry_after);
+    this->answer(action.flow, this->dialect.write_refusal(wait), "refused",
+                 std::string(proxy::to_string(action.reason)));
+}
+
+void gateway_engine::run(const proxy::no_route_action& action)
+{
+    this->answer(action.flow, plain_response(status_no_route, "no route matches"), "no_route", {});
+}
+
+void gateway_engine::run(const proxy::fail_action& action)
+{
+    const auto status = action.is_timeout ? status_gateway_timeout : status_bad_gateway;
+    this->answer(action.flow, plain_response(status, "the upstream did not answer"),
+                 action.is_timeout ? "timed_out" : "failed", "the request may have run");
+}
+
+void gateway_engine::answer(flow_id id, http::http_response response, const std::string& outcome,
+                            const std::string& reason)
+{
+    const auto found = this->flows.find(id);
+    if (found == this->flows.end()) {
+        return;
+    }
+    const auto flow = std::move(found->second);
+    this->flows.erase(found);
+    this->log_answer(flow, outcome, reason, response.status);
+    this->metrics.on_answer(flow.route, outcome, now() - flow.arrived_at);
+    flow.exchange->respond(std::move(response));
+}
+
+void gateway_engine::log_answer(const flow_io& flow, const std::string& outcome, const std::string& reason,
+                                unsigned status) const
+{
+    log::event(log_part, "answer",
+               {{"request", flow.request_id},
+                {"route", flow.route},
+                {"outcome", outcome},
+                {"reason", reason},
+                {"status", status},
+                {"sends", flow.send},
+                {"upstream", flow.upstream.str()},
+                {"took_ms", to_milliseconds(now() - flow.arrived_at)},
+                {"configuration", this->core.routes().version().value()},
+                {"upstreams_at", this->view.mirror(store::collection::upstreams).at().value()}});
+}
+
+void gateway_engine::begin_leave()
+{
+    if (this->is_leaving) {
+        return;
+    }
+    this->is_leaving = true;
+    this->leave_started = now();
+    this->callers->announce_close();
+    this->circle->begin_leave(this->leave_started);
+    log::event(log_part, "leaving", {{"in_progress", this->flows.size()}});
+}
+
+void gateway_engine::advance_leave(time_point time)
+{
+    if (!this->is_leaving || this->is_stopped) {
+        return;
+    }
+    const auto since = time - this->leave_started;
+    const auto end = std::chrono::duration_cast<duration>(this->settings.stop_grace * usable_grace);
+    const bool is_idle = this->flows.empty() && since >= this->settings.lookup_ttl * longest_cache;
+    if (is_idle || since >= end) {
+        this->is_stopped = true;
+        this->callers->stop_accepting();
+        this->callbacks.on_stopped();
+    }
+}
+
+std::string gateway_engine::status() const
+{
+    boost::json::object report{{"instance", this->self().id.str()},
+                               {"serving", this->is_serving()},
+                               {"live_instances", this->circle->live_count()},
+                               {"configuration", this->core.routes().version().value()},
+                               {"upstreams", this->core.upstreams().size()},
+                               {"requests_in_progress", this->flows.size()},
+                               {"requests_waiting", this->core.waiting_count()}};
+    boost::json::object versions;
+    for (const auto& [which, version] : this->view.changed_at()) {
+        versions[store::to_string(which)] = version.value();
+    }
+    report["store_versions"] = std::move(versions);
+    return boost::json::serialize(report);
+}
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/gateway_engine.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "gateway/fleet_view.h"
+#include "gateway/gateway_dialect.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/peer_circle.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "proxy/proxy_core.h"
+#include "store/collection_watcher.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace buckthornhill::gateway {
+class gateway_metrics;
+struct gateway_timer;
+
+//! The request duty: listeners for callers, look-ups, readiness and peers, calls to upstreams, and the
+//! decisions between. Everything here runs on one thread, that of the context.
+class gateway_engine
+{
+public:
+    struct hooks
+    {
+        //! The store's view of this collection is behind a peer's.
+        std::function<void(store::collection)> on_behind;
+        std::function<void()> on_stopped;
+    };
+
+    gateway_engine(boost::asio::io_context& context, const gateway_settings& settings,
+                   const gateway_dialect& dialect, gateway_metrics& metrics, const random_hook& random,
+                   hooks callbacks);
+    ~gateway_engine();
+    gateway_engine(const gateway_engine&) = delete;
+    gateway_engine& operator=(const gateway_engine&) = delete;
+
+    void start();
+    void on_store_event(const store::watcher_event& event);
+    //! Starts a planned stop: callers are sent elsewhere, requests in progress end.
+    void begin_leave();
+    const membership::member_description& self() const { return this->circle->self(); }
+    //! State for operators, as JSON.
+    std::string status() const;
+
+private:
+    struct flow_io
+    {
+        http::exchange_ptr exchange;
+        std::string request_id;
+        std::string route;
+        time_point arrived_at;
+        upstream_id upstream;
+        std::uint64_t send = 0;
+        http::call_id call;
+        http::http_response response;
+    };
+
+    void on_caller(const http::exchange_ptr& exchange);
+    void on_lookup(const http::exchange_ptr& exchange);
+    void on_readiness(const http::exchange_ptr& exchange);
+    void on_upstream_result(flow_id flow, std::uint64_t send, http::call_result result);
+    void on_collection(const store::collection_update& update);
+    void on_tick();
+    void update_gauges();
+    void schedule_tick();
+    void advance_leave(time_point now);
+    bool is_serving() const;
+
+    void run_actions();
+    void run(const proxy::start_send_action& action);
+    void run(const proxy::cancel_send_action& action);
+    void run(const proxy::deliver_action& action);
+    void run(const proxy::refuse_action& action);
+    void run(const proxy::no_route_action& action);
+    void run(const proxy::fail_action& action);
+    void answer(flow_id flow, http::http_response response, const std::string& outcome,
+                const std::string& reason);
+    void log_answer(const flow_io& flow, const std::string& outcome, const std::string& reason,
+                    unsigned status) const;
+
+    gateway_settings settings;
+    const gateway_dialect& dialect;
+    gateway_metrics& metrics;
+    hooks callbacks;
+    proxy::proxy_core core;
+    fleet_view view;
+    std::unique_ptr<gateway_timer> timer;
+    std::unique_ptr<http::http_client> upstreams;
+    std::unique_ptr<peer_circle> circle;
+    std::unique_ptr<http::http_server> callers;
+    std::unique_ptr<http::http_server> lookups;
+    std::unique_ptr<http::http_server> readiness;
+    std::unordered_map<flow_id, flow_io> flows;
+    flow_id last_flow;
+    time_point leave_started{};
+    time_point next_gauges{};
+    bool is_leaving = false;
+    bool is_stopped = false;
+};
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,83 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace buckthornhill::gateway {
+namespace {
+constexpr std::size_t max_routes = 64; //!< further routes share one label value
+const prometheus::Histogram::BucketBoundaries latency_bounds{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4,
+                                                             0.6,  0.8,   1.2,  2,   4,   8};
+} // namespace
+
+struct gateway_metrics::families
+{
+    explicit families(prometheus::Registry& registry)
+        : answers(prometheus::BuildCounter()
+                      .Name("buckthornhill_gateway_answers_total")
+                      .Help("Answers to callers by route and outcome.")
+                      .Register(registry))
+        , latency(prometheus::BuildHistogram()
+                      .Name("buckthornhill_gateway_answer_seconds")
+                      .Help("Time from a request's arrival to its answer.")
+                      .Register(registry))
+        , lookups(prometheus::BuildCounter()
+                      .Name("buckthornhill_gateway_lookups_total")
+                      .Help("Look-ups answered.")
+                      .Register(registry)
+                      .Add({}))
+        , gauges(prometheus::BuildGauge()
+                     .Name("buckthornhill_gateway_state")
+                     .Help("Live instances, requests in progress, requests waiting, upstreams known.")
+                     .Register(registry))
+    {
+    }
+
+    prometheus::Family<prometheus::Counter>& answers;
+    prometheus::Family<prometheus::Histogram>& latency;
+    prometheus::Counter& lookups;
+    prometheus::Family<prometheus::Gauge>& gauges;
+};
+
+struct gateway_metrics::route_metrics
+{
+    std::map<std::string, prometheus::Counter*> answers;
+    prometheus::Histogram* latency = nullptr;
+};
+
+gateway_metrics::gateway_metrics(prometheus::Registry& registry)
+    : registered(std::make_unique<families>(registry))
+{
+}
+
+gateway_metrics::~gateway_metrics() = default;
+
+void gateway_metrics::on_answer(const std::string& route, const std::string& outcome, duration took)
+{
+    const bool is_known = this->routes.contains(route);
+    const std::string label = is_known || this->routes.size() < max_routes ? route : "other";
+    auto& metrics = this->routes[label];
+    if (metrics == nullptr) {
+        metrics = std::make_unique<route_metrics>();
+        metrics->latency = &this->registered->latency.Add({{"route", label}}, latency_bounds);
+    }
+    auto& counter = metrics->answers[outcome];
+    if (counter == nullptr) {
+        counter = &this->registered->answers.Add({{"route", label}, {"outcome", outcome}});
+    }
+    counter->Increment();
+    metrics->latency->Observe(std::chrono::duration<double>(took).count());
+}
+
+void gateway_metrics::on_lookup()
+{
+    this->registered->lookups.Increment();
+}
+
+void gateway_metrics::set_gauge(const std::string& name, double value)
+{
+    this->registered->gauges.Add({{"kind", name}}).Set(value);
+}
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "global/units.h"
+
+namespace prometheus {
+class Registry;
+}
+
+namespace buckthornhill::gateway {
+//! Counters and latency histograms of the gateway. The number of label values is bounded.
+class gateway_metrics
+{
+public:
+    explicit gateway_metrics(prometheus::Registry& registry);
+    ~gateway_metrics();
+    gateway_metrics(const gateway_metrics&) = delete;
+    gateway_metrics& operator=(const gateway_metrics&) = delete;
+
+    void on_answer(const std::string& route, const std::string& outcome, duration took);
+    void on_lookup();
+    void set_gauge(const std::string& name, double value);
+
+private:
+    struct families;
+    struct route_metrics;
+
+    std::unique_ptr<families> registered;
+    std::map<std::string, std::unique_ptr<route_metrics>> routes;
+};
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/news_codec.cpp
@@ -0,0 +1,155 @@
+#include "gateway/news_codec.h"
+
+#include <boost/json.hpp>
+
+#include "gateway/gateway_errors.h"
+#include "store/store_errors.h"
+
+namespace buckthornhill::gateway {
+namespace json = boost::json;
+
+namespace {
+//! Places of a member record's fields in its array.
+enum member_field : std::size_t {
+    id,
+    incarnation,
+    state,
+    sequence,
+    region,
+    domain,
+    peer,
+    caller,
+    field_count
+};
+
+json::array encode_member(const membership::member_record& record)
+{
+    const auto& member = record.description;
+    return {member.id.str(),     member.incarnation.value(), static_cast<int>(record.state),
+            record.sequence,     member.region.str(),        member.domain.str(),
+            member.peer_address, member.caller_address};
+}
+
+std::string text_at(const json::array& fields, std::size_t index)
+{
+    return std::string(fields.at(index).as_string());
+}
+
+membership::member_record decode_member(const json::value& value)
+{
+    const auto& fields = value.as_array();
+    if (fields.size() != field_count) {
+        throw gateway_error("a member record has " + std::to_string(fields.size()) + " fields");
+    }
+    membership::member_record record;
+    record.description.id = instance_id(text_at(fields, id));
+    record.description.incarnation = incarnation_id(fields[incarnation].to_number<std::uint64_t>());
+    const auto number = fields[state].to_number<int>();
+    if (number < 0 || number > static_cast<int>(membership::member_state::gone)) {
+        throw gateway_error("a member record has the state " + std::to_string(number));
+    }
+    record.state = static_cast<membership::member_state>(number);
+    record.sequence = fields[sequence].to_number<std::uint64_t>();
+    record.description.region = region_id(text_at(fields, region));
+    record.description.domain = domain_id(text_at(fields, domain));
+    record.description.peer_address = text_at(fields, peer);
+    record.description.caller_address = text_at(fields, caller);
+    return record;
+}
+
+//! Runs `decode`, and turns what the JSON library throws into this layer's error.
+template <typename Decode>
+auto decoded(const std::string& what, Decode decode)
+{
+    try {
+        return decode();
+    } catch (const std::exception& failure) {
+        throw gateway_error(what + ": " + failure.what());
+    }
+}
+} // namespace
+
+std::string encode_news(const peer_news& news)
+{
+    json::array members;
+    for (const auto& record : news.members) {
+        members.push_back(encode_member(record));
+    }
+    json::object versions;
+    for (const auto& [which, version] : news.changed_at) {
+        versions[store::to_string(which)] = version.value();
+    }
+    return json::serialize(
+        json::object{{"members", std::move(members)}, {"changed_at", std::move(versions)}});
+}
+
+peer_news decode_news(const std::string& text)
+{
+    return decoded("peer news", [&text] {
+        const auto whole = json::parse(text).as_object();
+        peer_news news;
+        for (const auto& member : whole.at("members").as_array()) {
+            news.members.push_back(decode_member(member));
+        }
+        for (const auto& [name, version] : whole.at("changed_at").as_object()) {
+            news.changed_at[store::parse_collection(name)] =
+                object_version(version.to_number<std::uint64_t>());
+        }
+        return news;
+    });
+}
+
+std::string encode_collection(const store::collection_update& update)
+{
+    json::array objects;
+    for (const auto& change : update.changes) {
+        objects.push_back(json::array{change.object.name, change.object.version.value(), change.object.text});
+    }
+    return json::serialize(json::object{{"collection", store::to_string(update.which)},
+                                        {"at", update.at.value()},
+                                        {"objects", std::move(objects)}});
+}
+
+store::collection_update decode_collection(const std::string& text)
+{
+    return decoded("a peer's collection", [&text] {
+        const auto whole = json::parse(text).as_object();
+        store::collection_update update;
+        update.which = store::parse_collection(std::string(whole.at("collection").as_string()));
+        update.is_whole = true;
+        update.at = object_version(whole.at("at").to_number<std::uint64_t>());
+        for (const auto& value : whole.at("objects").as_array()) {
+            const auto& fields = value.as_array();
+            update.changes.push_back({{text_at(fields, 0), text_at(fields, 2),
+                                       object_version(fields.at(1).to_number<std::uint64_t>())},
+                                      false});
+        }
+        return update;
+    });
+}
+
+std::string encode_registration(const membership::member_description& member)
+{
+    return json::serialize(json::object{{"incarnation", member.incarnation.value()},
+                                        {"region", member.region.str()},
+                                        {"domain", member.domain.str()},
+                                        {"peers", member.peer_address},
+                                        {"callers", member.caller_address},
+                                        {"id", member.id.str()}});
+}
+
+membership::member_description decode_registration(const std::string& text)
+{
+    return decoded("a registration", [&text] {
+        const auto whole = json::parse(text).as_object();
+        membership::member_description member;
+        member.id = instance_id(std::string(whole.at("id").as_string()));
+        member.incarnation = incarnation_id(whole.at("incarnation").to_number<std::uint64_t>());
+        member.region = region_id(std::string(whole.at("region").as_string()));
+        member.domain = domain_id(std::string(whole.at("domain").as_string()));
+        member.peer_address = std::string(whole.at("peers").as_string());
+        member.caller_address = std::string(whole.at("callers").as_string());
+        return member;
+    });
+}
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/peer_circle.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "gateway/fleet_view.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/news_codec.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "membership/member_table.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace buckthornhill::gateway {
+//! Heartbeats with the other entry instances: which of them run, and who knows more of the store.
+class peer_circle
+{
+public:
+    struct hooks
+    {
+        //! A peer sent the whole of a collection of which it knew more.
+        std::function<void(const store::collection_update&)> on_collection;
+        //! A peer knows more of this collection although the store was heard of here.
+        std::function<void(store::collection)> on_behind;
+        std::function<void()> on_members_changed;
+    };
+
+    peer_circle(boost::asio::io_context& context, const gateway_settings& settings, const fleet_view& view,
+                random_hook random, hooks callbacks);
+    ~peer_circle();
+    peer_circle(const peer_circle&) = delete;
+    peer_circle& operator=(const peer_circle&) = delete;
+
+    const membership::member_description& self() const { return this->members.self().description; }
+    membership::member_state state() const { return this->members.self().state; }
+    void on_tick(time_point now);
+    void on_store_contact(store::collection which, bool is_in_contact);
+    void on_registered(time_point now, const std::vector<membership::member_description>& registered);
+    //! This instance can serve.
+    void become_live(time_point now);
+    //! This instance stops: every peer hears of it at once.
+    void begin_leave(time_point now);
+    //! After a pause of this process, silence of the others proves nothing.
+    void on_pause(time_point now) { this->members.restart_timeouts(now); }
+
+    std::size_t live_count() const { return this->members.live_members().size(); }
+    //! Callers' addresses that a caller at `region` and `domain` should use, near ones only.
+    std::vector<std::string> addresses_for(const region_id& region, const domain_id& domain) const;
+
+private:
+    void on_request(const http::exchange_ptr& exchange);
+    void on_news(time_point now, const peer_news& news);
+    void tell(time_point now, const instance_id& peer);
+    void tell_all(time_point now);
+    void compare(const peer_news& news);
+    void fetch(const std::string& address, store::collection which);
+    bool knows_more(const peer_news& news, store::collection which) const;
+    peer_news own_news();
+
+    gateway_settings settings;
+    const fleet_view& view;
+    hooks callbacks;
+    membership::member_table members;
+    std::unique_ptr<http::http_client> client;
+    std::unique_ptr<http::http_server> listener;
+    std::set<store::collection> in_contact;
+    std::set<store::collection> fetching;
+    time_point next_round{};
+};
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/tests/news_codec_tests.cpp
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway_errors.h"
+#include "gateway/news_codec.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::gateway;
+
+namespace {
+membership::member_description make_member()
+{
+    membership::member_description member;
+    member.id = instance_id("entry-1");
+    member.incarnation = incarnation_id(77);
+    member.region = region_id("north");
+    member.domain = domain_id("north-a");
+    member.peer_address = "10.0.0.1:7000";
+    member.caller_address = "10.0.0.1:80";
+    return member;
+}
+} // namespace
+
+TEST_CASE("[GIVEN] peer news [WHEN] they are encoded and decoded [THEN] nothing is lost", "[gateway]")
+{
+    peer_news news;
+    news.members.push_back({make_member(), membership::member_state::leaving, 9});
+    news.changed_at[store::collection::upstreams] = object_version(41);
+
+    const auto back = decode_news(encode_news(news));
+
+    REQUIRE(back.members.size() == 1);
+    const auto& record = back.members.front();
+    CHECK(record.state == membership::member_state::leaving);
+    CHECK(record.sequence == 9);
+    CHECK(record.description.id == instance_id("entry-1"));
+    CHECK(record.description.incarnation == incarnation_id(77));
+    CHECK(record.description.domain == domain_id("north-a"));
+    CHECK(record.description.caller_address == "10.0.0.1:80");
+    CHECK(back.changed_at.at(store::collection::upstreams) == object_version(41));
+}
+
+TEST_CASE("[GIVEN] a collection [WHEN] a peer sends it [THEN] it arrives whole with its version", "[gateway]")
+{
+    store::collection_update update;
+    update.which = store::collection::evacuations;
+    update.at = object_version(6);
+    update.changes.push_back({{"north-a", "{\"quoted\":\"text\"}", object_version(5)}, false});
+
+    const auto back = decode_collection(encode_collection(update));
+
+    CHECK(back.which == store::collection::evacuations);
+    CHECK(back.is_whole);
+    CHECK(back.at == object_version(6));
+    REQUIRE(back.changes.size() == 1);
+    CHECK(back.changes[0].object.text == "{\"quoted\":\"text\"}");
+    CHECK(back.changes[0].object.version == object_version(5));
+}
+
+TEST_CASE("[GIVEN] a registration [WHEN] another instance reads it [THEN] it finds the addresses",
+          "[gateway]")
+{
+    const auto back = decode_registration(encode_registration(make_member()));
+    CHECK(back.peer_address == "10.0.0.1:7000");
+    CHECK(back.id == instance_id("entry-1"));
+}
+
+TEST_CASE("[GIVEN] broken messages [WHEN] they are decoded [THEN] each is one kind of error", "[gateway]")
+{
+    for (const auto* text : {"", "[]", "{}", R"({"members":[[]],"changed_at":{}})",
+                             R"({"members":[],"changed_at":{"secrets":1}})",
+                             R"({"members":[["a",1,99,1,"r","d","p","c"]],"changed_at":{}})"}) {
+        CHECK_THROWS_AS(decode_news(text), gateway_error);
+    }
+    CHECK_THROWS_AS(decode_collection("{\"collection\":\"upstreams\"}"), gateway_error);
+    CHECK_THROWS_AS(decode_registration("{\"id\":7}"), gateway_error);
+}
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -16,8 +16,19 @@
 using call_handler = std::function<void(call_result)>;
 
 enum class connection_choice {
-    reuse, //!< an idle connection if one is alive, else a new one
-    fresh  //!< a new connection: a failed connect then proves that the server read nothing
+    reuse,  //!< an idle connection if one is alive, else a new one
+    recent, //!< an idle connection if it was used a moment ago, so that the server has hardly closed it
+    fresh   //!< a new connection: a failed connect then proves that the server read nothing
+};
+
+//! How one call is made.
+struct call_terms
+{
+    time_point deadline;
+    connection_choice choice = connection_choice::reuse;
+    bool accepts_unframed = false; //!< a response without a length, which ends with its connection, is whole
+    //! When set, responses for which it is false belong to no call and are skipped.
+    std::function<bool(const http_response&)> is_expected;
 };
 
 //! Sends requests, one at a time on a connection, and keeps idle connections for reuse.
@@ -33,6 +44,7 @@
     //! `handler` is called once, never from inside this call.
     call_id send(const endpoint& server, http_request request, time_point deadline, connection_choice choice,
                  call_handler handler);
+    call_id send(const endpoint& server, http_request request, call_terms terms, call_handler handler);
     //! Closes the call's connection; its handler gets `cancelled`.
     void cancel(call_id call);
     void close();
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -11,6 +11,9 @@
 }
 
 namespace buckthornhill::http {
+//! Gets the rejection, and the request's headers or null when they were not read to their end.
+using rejection_hook = std::function<void(http_response&, const header_list*)>;
+
 //! Listener that parses requests within limits and hands each to a handler on the context's thread.
 class http_server
 {
@@ -23,8 +26,14 @@
 
     //! The address in use, with the port that the system chose if 0 was asked for.
     endpoint local_endpoint() const;
+    //! Answers with `Connection: close` from now on, while new connections are still taken.
+    void announce_close();
     //! Takes no further connections and answers with `Connection: close` from now on.
     void stop_accepting();
+    //! Holds for requests that start from now on.
+    void set_limits(const server_limits& limits);
+    //! `hook` completes the answer to a request that the listener rejects itself.
+    void on_rejection(rejection_hook hook);
     std::size_t connection_count() const;
     //! Closes every connection and the listener.
     void close();
--- a/src/http/http_types.cpp
+++ b/src/http/http_types.cpp
@@ -34,6 +34,11 @@
 }
 } // namespace
 
+bool is_same_header(std::string_view a, std::string_view b)
+{
+    return equals_ignoring_case(a, b);
+}
+
 std::string_view find_header(const header_list& headers, std::string_view name)
 {
     for (const auto& [key, value] : headers) {
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -11,6 +11,8 @@
 namespace buckthornhill::http {
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+//! Header names are the same in any case of letters.
+bool is_same_header(std::string_view a, std::string_view b);
 //! Value of the first header called `name` (any case), or an empty text.
 std::string_view find_header(const header_list& headers, std::string_view name);
 
@@ -57,6 +59,10 @@
     std::size_t max_idle_per_endpoint = 64;
     std::size_t max_body_bytes = 4UL * 1024 * 1024;
     std::chrono::milliseconds idle_timeout{30000};
+    std::chrono::milliseconds recent_idle{1000}; //!< see `connection_choice::recent`
+    std::chrono::milliseconds connect_timeout{5000};
+    //! Bytes that the other side does not acknowledge for so long end the connection; 0 leaves the system's.
+    std::chrono::milliseconds unacknowledged_timeout{0};
 };
 
 enum class call_status {
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -1,21 +1,27 @@
 #include "http/internal/client_connection.h"
 
+#include <netinet/tcp.h>
+
 namespace buckthornhill::http {
 namespace asio = boost::asio;
 namespace beast_http = boost::beast::http;
 
-client_connection::client_connection(asio::io_context& context, endpoint server, std::size_t body_limit,
+namespace {
+constexpr unsigned first_final_status = 200;
+}
+
+client_connection::client_connection(asio::io_context& context, endpoint server, const client_limits& bounds,
                                      finished_hook hook)
     : socket(context)
     , remote(std::move(server))
-    , max_body_bytes(body_limit)
+    , limits(bounds)
     , on_finished(std::move(hook))
 {
 }
 
-void client_connection::start(http_request request, time_point call_deadline)
+void client_connection::start(http_request request, call_terms call_to_make)
 {
-    this->until = call_deadline;
+    this->terms = std::move(call_to_make);
     this->is_busy = true;
     this->was_sent = false;
     auto& message = this->outgoing.emplace();
@@ -24,13 +30,16 @@
     for (const auto& [name, value] : request.headers) {
         message.insert(name, value);
     }
-    message.set(beast_http::field::host, this->remote.str());
+    if (message.count(beast_http::field::host) == 0) {
+        message.set(beast_http::field::host, this->remote.str());
+    }
     message.body() = std::move(request.body);
     message.prepare_payload();
     if (this->is_connected) {
         this->write();
         return;
     }
+    this->connect_until = std::chrono::steady_clock::now() + this->limits.connect_timeout;
     const asio::ip::tcp::endpoint target(asio::ip::make_address(this->remote.address), this->remote.port);
     this->socket.async_connect(target, [self = pointer(this)](const boost::system::error_code& failure) {
         if (!self->is_busy) {
@@ -40,13 +49,29 @@
             self->finish(call_status::connect_failed, failure.message());
             return;
         }
-        boost::system::error_code ignored;
-        self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         self->is_connected = true;
+        self->set_options();
         self->write();
     });
 }
 
+void client_connection::set_options()
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (this->limits.unacknowledged_timeout.count() > 0) {
+        using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+        const user_timeout wanted(static_cast<int>(this->limits.unacknowledged_timeout.count()));
+        this->socket.set_option(wanted, ignored);
+    }
+}
+
+time_point client_connection::deadline() const
+{
+    const bool is_connecting = this->is_busy && !this->is_connected;
+    return is_connecting ? std::min(this->connect_until, this->terms.deadline) : this->terms.deadline;
+}
+
 bool client_connection::has_ended(const boost::system::error_code& failure)
 {
     if (this->is_busy && failure) {
@@ -69,22 +94,26 @@
 void client_connection::read()
 {
     this->parser.emplace();
-    this->parser->body_limit(this->max_body_bytes);
+    this->parser->body_limit(this->limits.max_body_bytes);
     beast_http::async_read(this->socket, this->buffer, *this->parser,
                            [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
                                if (!self->has_ended(failure)) {
-                                   self->finish_with_response();
+                                   self->on_response();
                                }
                            });
 }
 
-void client_connection::finish_with_response()
+void client_connection::on_response()
 {
     auto message = this->parser->release();
+    if (message.result_int() < first_final_status) {
+        this->read();
+        return;
+    }
     //! NOTE A body without a length ends with the connection, so a cut cannot be told from its end.
     const bool has_length = message.has_content_length() || message.chunked() ||
                             message.result_int() == 204 || message.result_int() == 304;
-    if (!has_length) {
+    if (!has_length && !this->terms.accepts_unframed) {
         this->finish(call_status::broken, "the response has no length");
         return;
     }
@@ -95,9 +124,20 @@
     for (const auto& field : message) {
         result.response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
-    const bool is_reusable = message.keep_alive() && this->buffer.size() == 0;
     result.response.body = std::move(message.body());
+    if (this->terms.is_expected && !this->terms.is_expected(result.response)) {
+        this->had_stray_response = true;
+        if (has_length) {
+            this->read();
+        } else {
+            this->finish(call_status::broken, "the response belongs to another request");
+        }
+        return;
+    }
+    const bool is_reusable =
+        message.keep_alive() && has_length && this->buffer.size() == 0 && !this->had_stray_response;
     this->is_busy = false;
+    this->became_idle = std::chrono::steady_clock::now();
     this->on_finished(pointer(this), std::move(result), is_reusable);
 }
 
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -21,18 +21,20 @@
     using pointer = boost::intrusive_ptr<client_connection>;
     using finished_hook = std::function<void(const pointer&, call_result, bool is_reusable)>;
 
-    client_connection(boost::asio::io_context& context, endpoint server, std::size_t max_body_bytes,
+    client_connection(boost::asio::io_context& context, endpoint server, const client_limits& limits,
                       finished_hook on_finished);
 
-    void start(http_request request, time_point call_deadline);
+    void start(http_request request, call_terms call);
     //! Ends the call with `status` and closes the connection.
     void abandon(call_status status);
     //! The server has neither closed the idle connection nor sent anything on it.
     bool is_alive_when_idle();
 
     const endpoint& server() const { return this->remote; }
-    time_point deadline() const { return this->until; }
-    void set_deadline(time_point when) { this->until = when; }
+    //! When the sweep has to act: the connect is late, the call is late, or the idle time is over.
+    time_point deadline() const;
+    void set_deadline(time_point when) { this->terms.deadline = when; }
+    time_point idle_since() const { return this->became_idle; }
     void close();
 
     call_id call;
@@ -41,20 +43,24 @@
 private:
     //! The call is over: it was given up on, or the step that just ended failed.
     bool has_ended(const boost::system::error_code& failure);
+    void set_options();
     void write();
     void read();
+    void on_response();
     void finish(call_status status, const std::string& detail);
-    void finish_with_response();
 
     boost::asio::ip::tcp::socket socket;
     endpoint remote;
-    std::size_t max_body_bytes;
+    client_limits limits;
     finished_hook on_finished;
     boost::beast::flat_buffer buffer;
     std::optional<boost::beast::http::request<boost::beast::http::string_body>> outgoing;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
-    time_point until;
+    call_terms terms;
+    time_point connect_until{};
+    time_point became_idle{};
     bool is_connected = false;
+    bool had_stray_response = false;
     bool was_sent = false;
     bool is_busy = false;
 };
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -26,11 +26,10 @@
     {
     }
 
-    call_id send(const endpoint& server, http_request request, time_point deadline, connection_choice choice,
-                 call_handler handler)
+    call_id send(const endpoint& server, http_request request, call_terms terms, call_handler handler)
     {
         const call_id call = ++this->last_call;
-        auto connection = choice == connection_choice::reuse ? this->take_idle(server) : nullptr;
+        auto connection = this->take_idle(server, terms.choice);
         if (connection == nullptr) {
             connection = this->make_connection(server);
         }
@@ -38,7 +37,7 @@
         connection->handler = std::move(handler);
         this->busy.push_back(*connection);
         this->calls.emplace(call, connection);
-        connection->start(std::move(request), deadline);
+        connection->start(std::move(request), std::move(terms));
         return call;
     }
 
@@ -98,13 +97,21 @@
                 self->on_finished(connection, std::move(result), is_reusable);
             }
         };
-        return {new client_connection(this->context, server, this->limits.max_body_bytes, std::move(hook))};
+        return {new client_connection(this->context, server, this->limits, std::move(hook))};
     }
 
-    client_connection::pointer take_idle(const endpoint& server)
+    client_connection::pointer take_idle(const endpoint& server, connection_choice choice)
     {
+        if (choice == connection_choice::fresh) {
+            return nullptr;
+        }
         auto& idle = this->idle_by_server[server];
+        const auto now = std::chrono::steady_clock::now();
         while (!idle.empty()) {
+            const bool is_recent = now - idle.back()->idle_since() <= this->limits.recent_idle;
+            if (choice == connection_choice::recent && !is_recent) {
+                return nullptr;
+            }
             auto connection = std::move(idle.back());
             idle.pop_back();
             if (connection->is_alive_when_idle()) {
@@ -192,7 +199,16 @@
 call_id http_client::send(const endpoint& server, http_request request, time_point deadline,
                           connection_choice choice, call_handler handler)
 {
-    return this->state->send(server, std::move(request), deadline, choice, std::move(handler));
+    call_terms terms;
+    terms.deadline = deadline;
+    terms.choice = choice;
+    return this->send(server, std::move(request), std::move(terms), std::move(handler));
+}
+
+call_id http_client::send(const endpoint& server, http_request request, call_terms terms,
+                          call_handler handler)
+{
+    return this->state->send(server, std::move(request), std::move(terms), std::move(handler));
 }
 
 void http_client::cancel(call_id call)
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -21,7 +21,8 @@
                    request_handler handler)
         : acceptor(context)
         , sweep_timer(context)
-        , shared(std::make_shared<session_context>(session_context{limits, std::move(handler), false}))
+        , shared(
+              std::make_shared<session_context>(session_context{limits, std::move(handler), nullptr, false}))
     {
         try {
             const tcp::endpoint local(asio::ip::make_address(bind_to.address), bind_to.port);
@@ -46,6 +47,10 @@
         return {local.address().to_string(), local.port()};
     }
 
+    void announce_close() { this->shared->is_closing = true; }
+    void set_limits(const server_limits& limits) { this->shared->limits = limits; }
+    void on_rejection(rejection_hook hook) { this->shared->on_rejection = std::move(hook); }
+
     void stop_accepting()
     {
         boost::system::error_code ignored;
@@ -142,6 +147,21 @@
     return this->state->local_endpoint();
 }
 
+void http_server::announce_close()
+{
+    this->state->announce_close();
+}
+
+void http_server::set_limits(const server_limits& limits)
+{
+    this->state->set_limits(limits);
+}
+
+void http_server::on_rejection(rejection_hook hook)
+{
+    this->state->on_rejection(std::move(hook));
+}
+
 void http_server::stop_accepting()
 {
     this->state->stop_accepting();
--- a/src/http/internal/http_session.cpp
+++ b/src/http/internal/http_session.cpp
@@ -1,13 +1,16 @@
 #include "http/internal/http_session.h"
 
-#include <boost/beast/core/bind_handler.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace buckthornhill::http {
 namespace beast_http = boost::beast::http;
 
 namespace {
+constexpr unsigned status_malformed = 400;
 constexpr unsigned status_body_too_large = 413;
-constexpr const char* ticket_header = "Bth-Ticket";
+constexpr unsigned status_headers_too_large = 431;
+constexpr unsigned http_version_1_1 = 11;
 constexpr std::size_t read_chunk_bytes = 8UL * 1024;
 } // namespace
 
@@ -22,10 +25,10 @@
 
 void http_session::start()
 {
-    this->read_header();
+    this->await_request();
 }
 
-void http_session::read_header()
+void http_session::await_request()
 {
     this->parser.emplace();
     this->parser->header_limit(static_cast<std::uint32_t>(this->context->limits.max_header_bytes));
@@ -35,66 +38,123 @@
         this->buffer.size() > 0 ? this->context->limits.request_timeout : this->context->limits.idle_timeout;
     this->deadline = std::chrono::steady_clock::now() + wait;
     if (this->buffer.size() > 0) {
-        this->read_body();
+        this->read_header();
         return;
     }
     //! NOTE The wait for the first byte keeps idle connections apart from slow senders.
-    this->socket.async_wait(
-        boost::asio::socket_base::wait_read,
-        [self = pointer(this)](const boost::system::error_code& failure) { self->on_header(failure); });
+    this->socket.async_wait(boost::asio::socket_base::wait_read,
+                            [self = pointer(this)](const boost::system::error_code& failure) {
+                                if (failure) {
+                                    self->close();
+                                    return;
+                                }
+                                self->step = phase::reading;
+                                self->deadline =
+                                    std::chrono::steady_clock::now() + self->context->limits.request_timeout;
+                                self->read_header();
+                            });
+}
+
+void http_session::read_header()
+{
+    beast_http::async_read_header(this->socket, this->buffer, *this->parser,
+                                  [self = pointer(this)](const boost::system::error_code& failure,
+                                                         std::size_t) { self->on_header(failure); });
 }
 
 void http_session::on_header(const boost::system::error_code& failure)
 {
-    if (failure) {
-        this->close();
+    if (this->has_rejected(failure)) {
+        return;
+    }
+    const auto fault = this->fault_in_headers();
+    if (!fault.empty()) {
+        this->reject(status_malformed, fault);
+        return;
+    }
+    const auto& expect = this->parser->get()[beast_http::field::expect];
+    if (!this->parser->is_done() && boost::beast::iequals(expect, "100-continue")) {
+        this->send_continue();
         return;
     }
-    this->step = phase::reading;
-    this->deadline = std::chrono::steady_clock::now() + this->context->limits.request_timeout;
     this->read_body();
 }
 
+std::string_view http_session::fault_in_headers() const
+{
+    const auto& message = this->parser->get();
+    const auto hosts = message.count(beast_http::field::host);
+    if (hosts > 1 || (hosts == 0 && message.version() >= http_version_1_1)) {
+        return "a request must have one Host header";
+    }
+    const auto codings = message.count(beast_http::field::transfer_encoding);
+    if (codings > 0 && message.count(beast_http::field::content_length) > 0) {
+        return "a request must not have both Transfer-Encoding and Content-Length";
+    }
+    const bool is_plain_chunked =
+        codings == 1 && boost::beast::iequals(message[beast_http::field::transfer_encoding], "chunked");
+    if (codings > 0 && !is_plain_chunked) {
+        return "only the transfer coding \"chunked\" is understood";
+    }
+    return {};
+}
+
+void http_session::send_continue()
+{
+    static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    boost::asio::async_write(this->socket, boost::asio::buffer(interim),
+                             [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
+                                 if (failure) {
+                                     self->close();
+                                     return;
+                                 }
+                                 self->read_body();
+                             });
+}
+
 void http_session::read_body()
 {
+    if (this->parser->is_done()) {
+        this->dispatch();
+        return;
+    }
     beast_http::async_read(this->socket, this->buffer, *this->parser,
                            [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
-                               self->on_request(failure);
+                               if (!self->has_rejected(failure)) {
+                                   self->dispatch();
+                               }
                            });
 }
 
-void http_session::on_request(const boost::system::error_code& failure)
+bool http_session::has_rejected(const boost::system::error_code& failure)
 {
-    if (failure == beast_http::error::body_limit) {
-        this->reject(status_body_too_large, "request body is larger than this listener accepts");
-        return;
+    if (!failure) {
+        return false;
     }
-    if (failure == beast_http::error::header_limit || failure == beast_http::error::buffer_overflow) {
-        this->reject(431, "request headers are larger than this listener accepts");
-        return;
-    }
-    if (failure.category() == beast_http::make_error_code(beast_http::error::bad_method).category() &&
-        failure != beast_http::error::end_of_stream && failure != beast_http::error::partial_message) {
-        this->reject(400, "malformed request: " + failure.message());
-        return;
+    if (this->step != phase::reading) {
+        return true;
     }
-    if (failure) {
+    if (failure == beast_http::error::body_limit) {
+        this->reject(status_body_too_large, "request body is larger than this listener accepts");
+    } else if (failure == beast_http::error::header_limit || failure == beast_http::error::buffer_overflow) {
+        this->reject(status_headers_too_large, "request headers are larger than this listener accepts");
+    } else if (failure.category() == beast_http::make_error_code(beast_http::error::bad_method).category() &&
+               failure != beast_http::error::end_of_stream && failure != beast_http::error::partial_message) {
+        this->reject(status_malformed, "malformed request: " + failure.message());
+    } else {
         this->close();
-        return;
     }
-    this->dispatch();
+    return true;
 }
 
 void http_session::dispatch()
 {
+    http_request request;
+    request.headers = this->received_headers();
     auto message = this->parser->release();
     this->keep_alive = message.keep_alive() && !this->context->is_closing;
-    http_request request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
-    for (const auto& field : message) {
-        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
     request.body = std::move(message.body());
     this->step = phase::waiting;
     this->deadline = std::chrono::steady_clock::time_point::max();
@@ -130,16 +190,29 @@
     this->keep_alive = false;
     http_response response;
     response.status = status;
-    //! NOTE A resend may be malformed while its original ran, so only a request without a ticket is certain.
-    //! All headers have been read when the body turns out to be too large.
-    const bool are_headers_read = status == status_body_too_large || this->parser->is_header_done();
-    const bool has_no_ticket = are_headers_read && this->parser->get().count(ticket_header) == 0;
-    response.headers.emplace_back("Bth-Outcome", has_no_ticket ? "not-executed" : "unknown");
     response.headers.emplace_back("Content-Type", "text/plain");
     response.body = std::string(reason) + "\n";
+    if (this->context->on_rejection) {
+        //! NOTE All headers have been read when the body turns out to be too large.
+        if (status == status_body_too_large || this->parser->is_header_done()) {
+            const auto headers = this->received_headers();
+            this->context->on_rejection(response, &headers);
+        } else {
+            this->context->on_rejection(response, nullptr);
+        }
+    }
     this->write(std::move(response));
 }
 
+header_list http_session::received_headers() const
+{
+    header_list headers;
+    for (const auto& field : this->parser->get()) {
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
 void http_session::write(http_response response)
 {
     this->step = phase::writing;
@@ -166,7 +239,7 @@
         this->close();
         return;
     }
-    this->read_header();
+    this->await_request();
 }
 
 void http_session::expire()
--- a/src/http/internal/http_session.h
+++ b/src/http/internal/http_session.h
@@ -11,6 +11,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "http/http_exchange.h"
+#include "http/http_server.h"
 
 namespace buckthornhill::http {
 //! What all sessions of a listener share.
@@ -18,6 +19,7 @@
 {
     server_limits limits;
     request_handler handler;
+    rejection_hook on_rejection;
     bool is_closing = false;
 };
 
@@ -41,10 +43,16 @@
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
     enum class phase { idle, reading, waiting, writing };
 
+    void await_request();
     void read_header();
-    void read_body();
     void on_header(const boost::system::error_code& failure);
-    void on_request(const boost::system::error_code& failure);
+    void send_continue();
+    void read_body();
+    //! Why the headers make the request unsafe to pass on, or an empty text.
+    std::string_view fault_in_headers() const;
+    //! Answers or closes after a failed read; false when there was no failure.
+    bool has_rejected(const boost::system::error_code& failure);
+    header_list received_headers() const;
     void on_written(const boost::system::error_code& failure);
     void reject(unsigned status, std::string_view reason);
     void dispatch();
--- a/src/node/node_slices.cpp
+++ b/src/node/node_slices.cpp
@@ -10,7 +10,7 @@
     : members(self, configuration.membership, random)
     , usage(self.region)
     , admission(configuration.admission, random)
-    , selector(self.id, steering::place{self.region, self.domain}, configuration.steering, random)
+    , selector(self.id, place{self.region, self.domain}, configuration.steering, random)
     , shift(configuration.shift)
     , health(configuration.health)
     , crashes(configuration.quarantine)
--- a/src/daemon/operations_service.cpp
+++ b/src/operations/operations_service.cpp
@@ -1,11 +1,11 @@
-#include "daemon/operations_service.h"
+#include "operations/operations_service.h"
 
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
 #include "http/http_server.h"
 
-namespace buckthornhill::daemon {
+namespace buckthornhill::operations {
 namespace {
 constexpr std::size_t max_waiting_queries = 64;
 
@@ -64,4 +64,4 @@
         node.mapped()->respond(text_response(200, "application/json", answer.body));
     }
 }
-} // namespace buckthornhill::daemon
+} // namespace buckthornhill::operations
--- a/src/daemon/operations_service.h
+++ b/src/operations/operations_service.h
@@ -19,7 +19,7 @@
 class http_server;
 }
 
-namespace buckthornhill::daemon {
+namespace buckthornhill::operations {
 //! A question of the operations duty to the request duty, by number.
 struct status_query
 {
@@ -55,4 +55,4 @@
     std::uint64_t last_query = 0;
     std::unique_ptr<http::http_server> server;
 };
-} // namespace buckthornhill::daemon
+} // namespace buckthornhill::operations
--- a/src/operators/store_access.cpp
+++ b/src/operators/store_access.cpp
@@ -5,7 +5,7 @@
 #include "http/blocking_call.h"
 #include "lists/list_codec.h"
 #include "operators/operators_errors.h"
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 namespace buckthornhill::operators {
 namespace {
@@ -37,7 +37,7 @@
 std::optional<stored_document> store_access::try_read(lists::document_name name) const
 {
     http::http_request request;
-    request.target = platform::path_of_document(name);
+    request.target = store::path_of_document(name);
     const auto result = http::call_and_wait(this->store, std::move(request), this->configuration.timeout);
     if (result.status != http::call_status::complete) {
         return std::nullopt;
@@ -48,7 +48,7 @@
     if (result.response.status != status_ok) {
         return std::nullopt;
     }
-    return stored_document{platform::version_in(result.response), result.response.body};
+    return stored_document{store::version_in(result.response), result.response.body};
 }
 
 stored_document store_access::read(lists::document_name name) const
@@ -67,7 +67,7 @@
 {
     http::http_request request;
     request.method = "PUT";
-    request.target = platform::path_of_document(name);
+    request.target = store::path_of_document(name);
     request.headers.emplace_back("If-Match", std::to_string(expected.value()));
     request.body = body;
     const auto result = http::call_and_wait(this->store, std::move(request), this->configuration.timeout);
@@ -75,7 +75,7 @@
         return {lists::write_answer::lost, {}};
     }
     if (result.response.status == status_ok) {
-        return {lists::write_answer::accepted, platform::version_in(result.response)};
+        return {lists::write_answer::accepted, store::version_in(result.response)};
     }
     const bool is_conflict = result.response.status == status_conflict;
     return {is_conflict ? lists::write_answer::version_conflict : lists::write_answer::lost, {}};
--- /dev/null
+++ b/src/placement/object_ranking.cpp
@@ -0,0 +1,52 @@
+#include "placement/object_ranking.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "global/hash.h"
+
+namespace buckthornhill::placement {
+namespace {
+//! Orders for so many objects are kept; more are worked out anew each time the cache was emptied.
+constexpr std::size_t max_cached_orders = 2048;
+constexpr int mantissa_bits = 53;
+
+//! Number in (0, 1) from the upper bits of a hash.
+double unit_interval(std::uint64_t hash)
+{
+    return (static_cast<double>(hash >> (64 - mantissa_bits)) + 0.5) /
+           static_cast<double>(1ULL << mantissa_bits);
+}
+} // namespace
+
+std::size_t object_ranking::key_hash::operator()(const key& value) const noexcept
+{
+    return hash_text(value.service.str(), value.object.value());
+}
+
+const std::vector<upstream_id>& object_ranking::order(const fleet::upstream_roster& roster,
+                                                      const service_id& service, object_hash object)
+{
+    if (this->epoch != roster.epoch() || this->cached.size() >= max_cached_orders) {
+        this->cached.clear();
+        this->epoch = roster.epoch();
+    }
+    const auto [position, is_new] = this->cached.try_emplace(key{service, object});
+    if (!is_new) {
+        return position->second;
+    }
+    std::vector<std::pair<double, upstream_id>> scored;
+    for (const auto& id : roster.usable(service)) {
+        const auto slots =
+            static_cast<double>(std::max<std::int64_t>(1, roster.find_usable(id)->entry.slots.value()));
+        const auto weight = rendezvous_weight(hash_text(id.str()), object.value());
+        scored.emplace_back(std::log(unit_interval(weight)) / slots, id);
+    }
+    std::sort(scored.begin(), scored.end(), std::greater<>());
+    auto& order = position->second;
+    for (auto& [score, id] : scored) {
+        order.push_back(std::move(id));
+    }
+    return order;
+}
+} // namespace buckthornhill::placement
--- /dev/null
+++ b/src/placement/placement_types.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <set>
+#include <vector>
+
+#include "global/ids.h"
+#include "global/place.h"
+#include "global/units.h"
+
+//! The choice of an upstream: the same object goes to the same few upstreams, whichever instance chooses.
+namespace buckthornhill::placement {
+using object_hash = strong_number<struct object_hash_tag, std::uint64_t>;
+
+struct placement_configuration
+{
+    std::chrono::microseconds domain_distance{5000};  //!< one way between failure domains
+    std::chrono::microseconds region_distance{12000}; //!< one way between regions
+    std::size_t first_choices = 4;                    //!< ranks tried before the rest of the pool
+    //! Requests at an upstream for each slot, waiting ones included, by rank: an urgent request may wait
+    //! where a less urgent one may not. At 2.0 the wait is about one service time.
+    std::vector<double> load_limit_by_rank{2.0, 1.75, 1.5};
+    std::chrono::milliseconds report_fresh{200};   //!< a load report counts in full for so long
+    std::chrono::milliseconds report_stale{1200};  //!< and not at all after so long
+    std::chrono::milliseconds health_memory{4000}; //!< half of what went wrong is forgotten in this time
+    std::chrono::milliseconds min_ejection{300};
+    std::chrono::milliseconds max_ejection{3000};
+    int failures_to_eject = 3;           //!< in a row; an address that refuses connections is ejected at once
+    std::size_t objects_remembered = 64; //!< by upstream, as handled there lately
+};
+
+struct placement_request
+{
+    service_id service;
+    std::string route;
+    object_hash object;
+    bool has_affinity = false;
+    int rank = 0;
+    std::chrono::milliseconds objective{0};
+    const std::set<region_id>* homes = nullptr; //!< null or empty when every region may run it
+    std::vector<upstream_id> avoid;             //!< tried already
+};
+
+struct placement_choice
+{
+    upstream_id upstream; //!< empty when no upstream may get the request now
+    bool has_room = false;
+    bool is_warm = false; //!< believed to have handled the object lately
+    duration expected{};  //!< until the answer, wait and distance included
+    duration work{};      //!< the part of `expected` that the upstream works
+};
+
+enum class send_result {
+    answered,
+    rejected,    //!< the upstream did not run it, being full
+    failed,      //!< the upstream ran it and answered with a failure
+    unreachable, //!< no connection
+    broken,      //!< the connection ended without an answer
+    silent,      //!< no answer until the deadline
+    withdrawn    //!< given up here; says nothing of the upstream
+};
+} // namespace buckthornhill::placement
--- /dev/null
+++ b/src/placement/tests/placement_tests.cpp
@@ -0,0 +1,258 @@
+#include <catch2/catch.hpp>
+
+#include "placement/upstream_picker.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::placement;
+using std::chrono::milliseconds;
+
+namespace {
+const service_id orders("orders");
+const place here{region_id("r1"), domain_id("d1")};
+
+fleet::upstream_entry make_entry(int number, std::int64_t slots = 4, const place& where = here)
+{
+    fleet::upstream_entry entry;
+    entry.id = upstream_id("u" + std::to_string(number));
+    entry.started_at_ms = 1;
+    entry.service = orders;
+    entry.address = "10.0.0.1:80";
+    entry.where = where;
+    entry.slots = slot_count(slots);
+    return entry;
+}
+
+fleet::upstream_roster make_roster(int count, std::int64_t slots = 4)
+{
+    fleet::upstream_roster roster{fleet::roster_configuration{}};
+    for (int i = 0; i < count; ++i) {
+        roster.upsert(time_point{}, make_entry(i, slots));
+    }
+    return roster;
+}
+
+placement_request request_for(std::uint64_t object, int rank = 1)
+{
+    placement_request request;
+    request.service = orders;
+    request.route = "route";
+    request.object = object_hash(object);
+    request.has_affinity = true;
+    request.rank = rank;
+    request.objective = milliseconds(400);
+    return request;
+}
+
+//! Picks and sends; the answer is given by `finish`.
+placement_choice send(upstream_picker& picker, const fleet::upstream_roster& roster, time_point now,
+                      const placement_request& request)
+{
+    auto choice = picker.pick(now, roster, request);
+    if (!choice.upstream.empty()) {
+        picker.on_sent(now, roster, choice.upstream, 0);
+    }
+    return choice;
+}
+} // namespace
+
+TEST_CASE("[GIVEN] two instances [WHEN] the same object comes to both [THEN] both choose the same upstream",
+          "[placement][pattern: objects of which upstreams remember a few]")
+{
+    const auto roster = make_roster(16);
+    upstream_picker one(here, {});
+    upstream_picker other({region_id("r2"), domain_id("d9")}, {});
+    std::set<upstream_id> used;
+    for (std::uint64_t object = 0; object < 200; ++object) {
+        const auto choice = one.pick(time_point{}, roster, request_for(object));
+        CHECK(choice.upstream == other.pick(time_point{}, roster, request_for(object)).upstream);
+        used.insert(choice.upstream);
+    }
+    CHECK(used.size() == 16);
+}
+
+TEST_CASE("[GIVEN] objects spread over a pool [WHEN] an upstream leaves [THEN] only its objects move",
+          "[placement][pattern: release and scale-in under load]")
+{
+    auto roster = make_roster(12);
+    upstream_picker picker(here, {});
+    std::map<std::uint64_t, upstream_id> before;
+    for (std::uint64_t object = 0; object < 300; ++object) {
+        before[object] = picker.pick(time_point{}, roster, request_for(object)).upstream;
+    }
+    roster.remove(time_point{}, upstream_id("u5"), false);
+    for (const auto& [object, upstream] : before) {
+        const auto now_at = picker.pick(time_point{}, roster, request_for(object)).upstream;
+        if (upstream == upstream_id("u5")) {
+            CHECK(now_at != upstream);
+        } else {
+            CHECK(now_at == upstream);
+        }
+    }
+}
+
+TEST_CASE("[GIVEN] a pool with slots of different number [WHEN] objects are dealt [THEN] slots count",
+          "[placement]")
+{
+    fleet::upstream_roster roster{fleet::roster_configuration{}};
+    roster.upsert(time_point{}, make_entry(0, 9));
+    roster.upsert(time_point{}, make_entry(1, 3));
+    upstream_picker picker(here, {});
+    int at_large = 0;
+    constexpr int objects = 2000;
+    for (std::uint64_t object = 0; object < objects; ++object) {
+        at_large +=
+            picker.pick(time_point{}, roster, request_for(object)).upstream == upstream_id("u0") ? 1 : 0;
+    }
+    CHECK(at_large > objects * 0.70);
+    CHECK(at_large < objects * 0.80);
+}
+
+TEST_CASE("[GIVEN] one hot object [WHEN] more requests come than its upstream holds [THEN] others take them",
+          "[placement][pattern: a hot object]")
+{
+    const auto roster = make_roster(4, 3);
+    upstream_picker picker(here, {});
+    std::map<upstream_id, int> sent;
+    for (int i = 0; i < 12; ++i) {
+        const auto choice = send(picker, roster, time_point{}, request_for(7, 2));
+        REQUIRE(choice.has_room);
+        ++sent[choice.upstream];
+    }
+    CHECK(sent.size() > 1);
+    for (const auto& [upstream, count] : sent) {
+        CHECK(count <= 5); // 3 slots, 1.5 requests for each at rank 2
+    }
+}
+
+TEST_CASE("[GIVEN] a full pool [WHEN] an urgent request comes [THEN] it has room where others have none",
+          "[placement][pattern: more is asked than the pool holds]")
+{
+    const auto roster = make_roster(2, 4);
+    upstream_picker picker(here, {});
+    while (send(picker, roster, time_point{}, request_for(3, 2)).has_room) {
+    }
+    CHECK_FALSE(picker.pick(time_point{}, roster, request_for(4, 2)).has_room);
+    CHECK(picker.pick(time_point{}, roster, request_for(4, 0)).has_room);
+}
+
+TEST_CASE("[GIVEN] load that others put on an upstream [WHEN] its report ages [THEN] it counts less and less",
+          "[placement]")
+{
+    static const placement_configuration configuration;
+    upstream_load load(configuration, 1);
+    const time_point now{std::chrono::seconds(100)};
+    load.on_sent();
+    load.on_report(now, 4, 2);
+    CHECK(load.estimate(now) == Approx(6));
+    CHECK(load.estimate(now + milliseconds(700)) == Approx(1 + 2.5));
+    CHECK(load.estimate(now + milliseconds(1200)) == Approx(1));
+}
+
+TEST_CASE("[GIVEN] an upstream that refuses connections [WHEN] time passes [THEN] one request tries it again",
+          "[placement][pattern: upstreams crash and come back]")
+{
+    const auto roster = make_roster(2);
+    upstream_picker picker(here, {});
+    const auto request = request_for(1);
+    time_point now{std::chrono::seconds(100)};
+    const auto first = send(picker, roster, now, request);
+    picker.on_finished(now, request, first, send_result::unreachable, milliseconds(1));
+
+    CHECK(picker.pick(now, roster, request).upstream != first.upstream);
+
+    now += milliseconds(400);
+    auto health = picker.find_load(first.upstream);
+    CHECK_FALSE(health->is_ejected(now));
+    picker.on_sent(now, roster, first.upstream, 0);
+    CHECK(health->is_ejected(now));
+    picker.on_finished(now, request, first, send_result::answered, milliseconds(100));
+    CHECK_FALSE(health->is_ejected(now));
+}
+
+TEST_CASE(
+    "[GIVEN] an upstream that turned slow [WHEN] answers show it [THEN] objects move away, and back later",
+    "[placement][pattern: upstreams turn slow]")
+{
+    const auto roster = make_roster(3);
+    upstream_picker picker(here, {});
+    const auto request = request_for(1);
+    time_point now{std::chrono::seconds(100)};
+    const auto home = picker.pick(now, roster, request).upstream;
+    for (int i = 0; i < 10; ++i) {
+        const auto choice = picker.pick(now, roster, request);
+        if (choice.upstream != home) {
+            break;
+        }
+        picker.on_sent(now, roster, home, 0);
+        picker.on_finished(now, request, choice, send_result::answered, milliseconds(3000));
+    }
+    CHECK(picker.pick(now, roster, request).upstream != home);
+    now += std::chrono::seconds(30);
+    CHECK(picker.pick(now, roster, request).upstream == home);
+}
+
+TEST_CASE("[GIVEN] nine instances and a cold upstream [WHEN] each sends all it may [THEN] the rate is kept",
+          "[placement][pattern: a failure domain comes back cold]")
+{
+    constexpr int instances = 9;
+    constexpr double rate = 8;
+    std::vector<cold_allowance> allowances(instances);
+    const upstream_id upstream("u1");
+    std::vector<time_point> sent;
+    for (time_point now{}; now < time_point{std::chrono::seconds(10)}; now += milliseconds(5)) {
+        for (auto& allowance : allowances) {
+            allowance.set_instances(now, instances);
+            if (allowance.may_send(now, upstream)) {
+                allowance.on_sent(now, upstream, rate);
+                sent.push_back(now);
+            }
+        }
+    }
+    for (std::size_t i = 0; i < sent.size(); ++i) {
+        const auto end = sent[i] + std::chrono::seconds(1);
+        const auto inside = std::count_if(sent.begin() + static_cast<std::ptrdiff_t>(i), sent.end(),
+                                          [end](time_point when) { return when < end; });
+        CHECK(inside <= 9);
+    }
+    CHECK(sent.size() > 60);
+}
+
+TEST_CASE(
+    "[GIVEN] instances that lose sight of each other [WHEN] the count falls [THEN] the share stays small",
+    "[placement][pattern: machines are cut off while upstreams are cold]")
+{
+    cold_allowance allowance;
+    const upstream_id upstream("u1");
+    time_point now{std::chrono::seconds(100)};
+    allowance.set_instances(now, 9);
+    allowance.set_instances(now + std::chrono::seconds(5), 1);
+    allowance.on_sent(now + std::chrono::seconds(5), upstream, 8);
+    CHECK_FALSE(allowance.may_send(now + std::chrono::seconds(6), upstream));
+}
+
+TEST_CASE("[GIVEN] a route with homes [WHEN] an upstream is picked [THEN] it runs in one of them",
+          "[placement]")
+{
+    auto roster = make_roster(4);
+    const place far{region_id("r2"), domain_id("d7")};
+    roster.upsert(time_point{}, make_entry(9, 4, far));
+    upstream_picker picker(here, {});
+    const std::set<region_id> homes{region_id("r2")};
+    auto request = request_for(5);
+    request.homes = &homes;
+    CHECK(picker.pick(time_point{}, roster, request).upstream == upstream_id("u9"));
+    request.avoid.push_back(upstream_id("u9"));
+    CHECK(picker.pick(time_point{}, roster, request).upstream.empty());
+}
+
+TEST_CASE("[GIVEN] answers for new and known objects [WHEN] times are learned [THEN] they are told apart",
+          "[placement]")
+{
+    work_times times(milliseconds(400));
+    for (int i = 0; i < 60; ++i) {
+        times.observe(milliseconds(640), false);
+        times.observe(milliseconds(190), true);
+    }
+    CHECK(times.warm() < milliseconds(230));
+    CHECK(times.cold() > milliseconds(580));
+}
--- /dev/null
+++ b/src/placement/upstream_load.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+#include "placement/placement_types.h"
+
+namespace buckthornhill::placement {
+//! What one instance knows of one upstream: requests there, its health, the objects it handled lately.
+class upstream_load
+{
+public:
+    upstream_load(const placement_configuration& configuration, std::uint64_t started_at_ms)
+        : configuration(&configuration)
+        , started_at_ms(started_at_ms)
+    {
+    }
+
+    void on_sent();
+    //! `expected` is what the upstream's work was expected to take.
+    void on_finished(time_point now, send_result result, duration took, duration expected);
+    //! The upstream said how many requests it runs and how many wait there, of all instances.
+    void on_report(time_point now, std::int64_t running, std::int64_t waiting);
+    void remember(object_hash object);
+    bool remembers(object_hash object) const { return this->known_objects.contains(object); }
+
+    //! Requests of all instances that run or wait there, by what was last heard.
+    double estimate(time_point now) const;
+    std::int64_t own() const { return this->in_flight; }
+    bool is_ejected(time_point now) const;
+    //! Time taken over time expected, lately; 1 when nothing is known.
+    double slowness(time_point now) const;
+    //! Share of requests that went wrong, lately.
+    double failure_share(time_point now) const;
+    std::uint64_t run_started_at_ms() const { return this->started_at_ms; }
+
+private:
+    double remaining(time_point now) const;
+    void note_failure(time_point now, bool eject_now);
+
+    const placement_configuration* configuration;
+    std::uint64_t started_at_ms;
+    std::int64_t in_flight = 0;
+    double others = 0; //!< requests of other instances at the last report
+    time_point reported_at{};
+    double slow_factor = 1;
+    double failing = 0;
+    time_point judged_at{};
+    int failures_in_a_row = 0;
+    int ejections_in_a_row = 0;
+    time_point ejected_until{};
+    std::list<object_hash> recent_objects; //!< the latest first
+    std::unordered_map<object_hash, std::list<object_hash>::iterator> known_objects;
+};
+} // namespace buckthornhill::placement
--- /dev/null
+++ b/src/placement/upstream_picker.cpp
@@ -0,0 +1,176 @@
+#include "placement/upstream_picker.h"
+
+#include <algorithm>
+
+namespace buckthornhill::placement {
+namespace {
+//! A failed request costs the caller a second try, which takes about this many times the work.
+constexpr double cost_of_failure = 2.0;
+
+duration scaled(duration value, double factor)
+{
+    return std::chrono::duration_cast<duration>(value * factor);
+}
+} // namespace
+
+upstream_picker::upstream_picker(place where, const placement_configuration& settings)
+    : self(std::move(where))
+    , configuration(settings)
+{
+}
+
+upstream_load& upstream_picker::load_of(const fleet::upstream_entry& entry)
+{
+    auto [position, is_new] = this->loads.try_emplace(entry.id, this->configuration, entry.started_at_ms);
+    const bool is_other_run = !is_new && position->second.run_started_at_ms() != entry.started_at_ms;
+    if (is_other_run && position->second.own() == 0) {
+        position->second = upstream_load(this->configuration, entry.started_at_ms);
+    }
+    return position->second;
+}
+
+const upstream_load* upstream_picker::find_load(const upstream_id& upstream) const
+{
+    const auto found = this->loads.find(upstream);
+    return found == this->loads.end() ? nullptr : &found->second;
+}
+
+work_times& upstream_picker::times_of(const placement_request& request)
+{
+    return this->times.try_emplace(request.route, request.objective).first->second;
+}
+
+duration upstream_picker::round_trip(const place& where) const
+{
+    switch (proximity_of(this->self, where)) {
+    case proximity::same_domain:
+        return {};
+    case proximity::same_region:
+        return 2 * this->configuration.domain_distance;
+    case proximity::other_region:
+        return 2 * this->configuration.region_distance;
+    }
+    return {};
+}
+
+double upstream_picker::load_limit(int rank) const
+{
+    const auto& limits = this->configuration.load_limit_by_rank;
+    return limits[std::min(static_cast<std::size_t>(std::max(0, rank)), limits.size() - 1)];
+}
+
+bool upstream_picker::is_allowed(time_point now, const fleet::upstream_roster& roster,
+                                 const placement_request& request, const upstream_id& id)
+{
+    const auto* known = roster.find_usable(id);
+    if (known == nullptr || std::ranges::find(request.avoid, id) != request.avoid.end()) {
+        return false;
+    }
+    const bool has_homes = request.homes != nullptr && !request.homes->empty();
+    if (has_homes && !request.homes->contains(known->entry.where.region)) {
+        return false;
+    }
+    if (this->load_of(known->entry).is_ejected(now)) {
+        return false;
+    }
+    return !roster.is_cold(now, id) || this->cold.may_send(now, id);
+}
+
+placement_choice upstream_picker::judge(time_point now, const fleet::upstream_roster& roster,
+                                        const placement_request& request, const upstream_id& id,
+                                        bool is_first_choice)
+{
+    const auto& entry = roster.find_usable(id)->entry;
+    const auto& load = this->load_of(entry);
+    const auto& known = this->times_of(request);
+    const auto slots = static_cast<double>(std::max<std::int64_t>(1, entry.slots.value()));
+    const double present = load.estimate(now);
+    placement_choice choice;
+    choice.upstream = id;
+    //! NOTE The first choice is warm through the requests of all instances, which send the object there too.
+    choice.is_warm = !request.has_affinity || is_first_choice || load.remembers(request.object);
+    choice.work = scaled(choice.is_warm ? known.warm() : known.cold(), load.slowness(now));
+    const double queue_ahead = std::max(0.0, present + 1 - slots) / slots;
+    choice.expected = choice.work + scaled(known.warm(), queue_ahead * load.slowness(now)) +
+                      this->round_trip(entry.where) +
+                      scaled(choice.work, cost_of_failure * load.failure_share(now));
+    choice.has_room = present < slots * this->load_limit(request.rank);
+    return choice;
+}
+
+placement_choice upstream_picker::pick(time_point now, const fleet::upstream_roster& roster,
+                                       const placement_request& request)
+{
+    const auto& order = this->ranking.order(roster, request.service, request.object);
+    placement_choice best;
+    std::size_t judged = 0;
+    bool is_first = true;
+    for (const auto& id : order) {
+        const bool is_first_choice = std::exchange(is_first, false);
+        if (!this->is_allowed(now, roster, request, id)) {
+            continue;
+        }
+        const auto choice = this->judge(now, roster, request, id, is_first_choice);
+        const bool is_better = best.upstream.empty() || (choice.has_room && !best.has_room) ||
+                               (choice.has_room == best.has_room && choice.expected < best.expected);
+        if (is_better) {
+            best = choice;
+        }
+        if (++judged >= this->configuration.first_choices && best.has_room) {
+            break;
+        }
+    }
+    return best;
+}
+
+void upstream_picker::on_sent(time_point now, const fleet::upstream_roster& roster,
+                              const upstream_id& upstream, double cold_rate)
+{
+    const auto found = this->loads.find(upstream);
+    if (found == this->loads.end()) {
+        return;
+    }
+    found->second.on_sent();
+    if (cold_rate > 0 && roster.is_cold(now, upstream)) {
+        this->cold.on_sent(now, upstream, cold_rate);
+    }
+}
+
+void upstream_picker::on_finished(time_point now, const placement_request& request,
+                                  const placement_choice& choice, send_result result, duration took)
+{
+    const auto found = this->loads.find(choice.upstream);
+    if (found == this->loads.end()) {
+        return;
+    }
+    auto& load = found->second;
+    load.on_finished(now, result, took, choice.expected);
+    if (result != send_result::answered) {
+        return;
+    }
+    load.remember(request.object);
+    //! NOTE An answer that waited behind others, or came from a slow upstream, says little of the work
+    //! itself.
+    const bool has_waited = choice.expected > choice.work * 2;
+    if (!has_waited && load.slowness(now) < 2) {
+        this->times_of(request).observe(took, choice.is_warm);
+    }
+}
+
+void upstream_picker::on_report(time_point now, const upstream_id& upstream, std::int64_t running,
+                                std::int64_t waiting)
+{
+    const auto found = this->loads.find(upstream);
+    if (found != this->loads.end()) {
+        found->second.on_report(now, running, waiting);
+    }
+}
+
+void upstream_picker::on_tick(time_point now, const fleet::upstream_roster& roster)
+{
+    this->cold.forget_before(now);
+    std::erase_if(this->loads, [&roster](const auto& item) {
+        return item.second.own() == 0 && roster.find_usable(item.first) == nullptr;
+    });
+}
+} // namespace buckthornhill::placement
--- /dev/null
+++ b/src/placement/upstream_picker.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <map>
+#include <unordered_map>
+
+#include "placement/cold_allowance.h"
+#include "placement/object_ranking.h"
+#include "placement/upstream_load.h"
+#include "placement/work_times.h"
+
+namespace buckthornhill::placement {
+//! Chooses the upstream that is expected to answer first, by wait, warmth, distance and health, among the
+//! first ranks of the request's object; the rest of the pool is used when those are full.
+class upstream_picker
+{
+public:
+    upstream_picker(place self, const placement_configuration& configuration);
+
+    placement_choice pick(time_point now, const fleet::upstream_roster& roster,
+                          const placement_request& request);
+    //! `cold_rate`: requests a second that a cold upstream of the service bears; 0 means no limit.
+    void on_sent(time_point now, const fleet::upstream_roster& roster, const upstream_id& upstream,
+                 double cold_rate);
+    void on_finished(time_point now, const placement_request& request, const placement_choice& choice,
+                     send_result result, duration took);
+    void on_report(time_point now, const upstream_id& upstream, std::int64_t running, std::int64_t waiting);
+    void set_instances(time_point now, std::size_t count) { this->cold.set_instances(now, count); }
+    void on_tick(time_point now, const fleet::upstream_roster& roster);
+
+    const upstream_load* find_load(const upstream_id& upstream) const;
+
+private:
+    upstream_load& load_of(const fleet::upstream_entry& entry);
+    work_times& times_of(const placement_request& request);
+    placement_choice judge(time_point now, const fleet::upstream_roster& roster,
+                           const placement_request& request, const upstream_id& id, bool is_first_choice);
+    bool is_allowed(time_point now, const fleet::upstream_roster& roster, const placement_request& request,
+                    const upstream_id& id);
+    duration round_trip(const place& where) const;
+    double load_limit(int rank) const;
+
+    place self;
+    placement_configuration configuration;
+    object_ranking ranking;
+    cold_allowance cold;
+    std::unordered_map<upstream_id, upstream_load> loads;
+    std::map<std::string, work_times> times;
+};
+} // namespace buckthornhill::placement
--- /dev/null
+++ b/src/proxy/proxy_core.cpp
@@ -0,0 +1,324 @@
+#include "proxy/proxy_core.h"
+
+#include <algorithm>
+
+namespace buckthornhill::proxy {
+using placement::send_result;
+using routing::repeat_rule;
+
+namespace {
+send_result result_of(const send_outcome& outcome)
+{
+    switch (outcome.status) {
+    case send_status::complete:
+        break;
+    case send_status::connect_failed:
+        return send_result::unreachable;
+    case send_status::broken:
+        return send_result::broken;
+    case send_status::timed_out:
+        return send_result::silent;
+    }
+    if (outcome.is_misdirected) {
+        return send_result::unreachable;
+    }
+    if (outcome.is_not_executed) {
+        return send_result::rejected;
+    }
+    return outcome.is_server_failure ? send_result::failed : send_result::answered;
+}
+} // namespace
+
+std::string_view to_string(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::no_configuration:
+        return "no-configuration";
+    case refusal_reason::no_upstream:
+        return "no-upstream";
+    case refusal_reason::overloaded:
+        return "overloaded";
+    case refusal_reason::deadline_passed:
+        return "deadline-passed";
+    }
+    return "unknown";
+}
+
+proxy_core::proxy_core(place self, const proxy_configuration& settings, random_hook source)
+    : configuration(settings)
+    , random(std::move(source))
+    , roster(fleet::roster_configuration{})
+    , picker(std::move(self), settings.placement)
+{
+}
+
+bool proxy_core::on_configuration(routing::routing_configuration fresh)
+{
+    const bool is_taken = this->table.offer(std::move(fresh));
+    if (is_taken) {
+        this->rotation.reset();
+    }
+    return is_taken;
+}
+
+void proxy_core::set_instances(time_point now, std::size_t count)
+{
+    this->instances = std::max<std::size_t>(1, count);
+    this->picker.set_instances(now, this->instances);
+}
+
+const proxy_flow* proxy_core::find(flow_id flow) const
+{
+    const auto found = this->flows.find(flow);
+    return found == this->flows.end() ? nullptr : &found->second;
+}
+
+bool proxy_core::bind_route(proxy_flow& flow)
+{
+    const auto* route = this->table.find(flow.facts.host, flow.facts.path);
+    if (route == nullptr) {
+        return false;
+    }
+    flow.routed_by = this->table.version();
+    flow.repeats = route->repeats;
+    flow.max_upstreams = route->max_upstreams;
+    flow.until = std::min(flow.facts.deadline, flow.arrived_at + route->timeout);
+    flow.hold_until = flow.arrived_at +
+                      std::chrono::duration_cast<duration>(route->objective * this->configuration.hold_share);
+    flow.homes = route->homes;
+    flow.wanted.service = this->rotation.next(*route);
+    flow.wanted.route = route->name;
+    flow.wanted.object = flow.facts.object;
+    flow.wanted.has_affinity = flow.facts.has_object && route->has_affinity;
+    flow.wanted.rank = route->rank;
+    flow.wanted.objective = route->objective;
+    flow.wanted.homes = &flow.homes;
+    return true;
+}
+
+void proxy_core::on_request(time_point now, const request_facts& facts)
+{
+    auto& flow = this->flows[facts.flow];
+    flow.facts = facts;
+    flow.arrived_at = now;
+    if (!this->table.has_configuration()) {
+        this->refuse(now, flow, refusal_reason::no_configuration);
+        return;
+    }
+    if (!this->bind_route(flow)) {
+        this->outbox.push_back(no_route_action{facts.flow});
+        this->finish(facts.flow);
+        return;
+    }
+    this->dispatch(now, flow);
+}
+
+void proxy_core::dispatch(time_point now, proxy_flow& flow)
+{
+    const bool was_waiting = flow.step == flow_step::waiting && flow.hold_until > now;
+    flow.choice = this->picker.pick(now, this->roster, flow.wanted);
+    if (flow.choice.upstream.empty()) {
+        this->refuse(now, flow, refusal_reason::no_upstream);
+        return;
+    }
+    if (now >= flow.until) {
+        this->refuse(now, flow, refusal_reason::deadline_passed);
+        return;
+    }
+    //! NOTE What cannot be answered in time is refused at once: waiting would only cost the caller time.
+    if (now + flow.choice.expected > flow.until) {
+        this->refuse(now, flow, refusal_reason::overloaded);
+        return;
+    }
+    if (flow.choice.has_room) {
+        this->send(now, flow);
+        return;
+    }
+    if (!was_waiting) {
+        this->refuse(now, flow, refusal_reason::overloaded);
+        return;
+    }
+    this->line.add(flow.wanted.rank, flow.arrived_at, flow.facts.flow);
+}
+
+void proxy_core::send(time_point now, proxy_flow& flow)
+{
+    const auto* known = this->roster.find_usable(flow.choice.upstream);
+    const auto* policy = this->table.policy(flow.wanted.service);
+    this->picker.on_sent(now, this->roster, flow.choice.upstream,
+                         policy == nullptr ? 0 : policy->cold_requests_per_second);
+    if (flow.upstreams_reached == 0 && flow.unsent_tries == 0) {
+        const auto window = std::chrono::duration_cast<duration>(this->configuration.retry_window);
+        this->retries.try_emplace(flow.wanted.service, window).first->second.on_first_send(now);
+    }
+    flow.step = flow_step::at_upstream;
+    flow.sent_at = now;
+    ++flow.send;
+    this->outbox.push_back(start_send_action{flow.facts.flow, flow.send, flow.choice.upstream,
+                                             known->entry.address, flow.until,
+                                             flow.repeats == repeat_rule::at_most_once});
+}
+
+void proxy_core::on_send_outcome(time_point now, flow_id id, std::uint64_t send, const send_outcome& outcome)
+{
+    const auto found = this->flows.find(id);
+    if (found == this->flows.end() || found->second.send != send ||
+        found->second.step != flow_step::at_upstream) {
+        return;
+    }
+    auto& flow = found->second;
+    this->picker.on_finished(now, flow.wanted, flow.choice, result_of(outcome), now - flow.sent_at);
+    if (outcome.has_load) {
+        this->picker.on_report(now, flow.choice.upstream, outcome.running, outcome.waiting);
+    }
+    if (outcome.is_misdirected) {
+        this->roster.on_misdirected(flow.choice.upstream);
+    }
+    flow.wanted.avoid.push_back(flow.choice.upstream);
+    const bool is_unsent = outcome.status == send_status::connect_failed || outcome.is_misdirected;
+    if (is_unsent) {
+        ++flow.unsent_tries;
+        this->on_not_run(now, flow, false);
+    } else if (outcome.status == send_status::complete && outcome.is_not_executed) {
+        ++flow.upstreams_reached;
+        this->on_not_run(now, flow, true);
+    } else if (outcome.status == send_status::complete && !outcome.is_server_failure) {
+        this->outbox.push_back(deliver_action{id, send});
+        this->finish(id);
+    } else {
+        ++flow.upstreams_reached;
+        flow.may_have_run = true;
+        this->on_may_have_run(now, flow, outcome);
+    }
+    this->retry_waiting(now);
+}
+
+bool proxy_core::may_send_again(time_point now, const proxy_flow& flow)
+{
+    if (flow.upstreams_reached >= flow.max_upstreams || now >= flow.until) {
+        return false;
+    }
+    const double share = this->configuration.retry_share;
+    const auto window = std::chrono::duration_cast<duration>(this->configuration.retry_window);
+    auto& spent = this->retries.try_emplace(flow.wanted.service, window).first->second;
+    return spent.try_spend(now, this->configuration.retry_ratio * share,
+                           this->configuration.retry_burst * share / static_cast<double>(this->instances));
+}
+
+void proxy_core::on_not_run(time_point now, proxy_flow& flow, bool was_rejected)
+{
+    const bool may_go_on = was_rejected ? this->may_send_again(now, flow)
+                                        : flow.unsent_tries < this->configuration.max_unsent_tries;
+    if (may_go_on) {
+        if (flow.routed_by != this->table.version() && !this->bind_route(flow)) {
+            this->outbox.push_back(no_route_action{flow.facts.flow});
+            this->finish(flow.facts.flow);
+            return;
+        }
+        this->dispatch(now, flow);
+        return;
+    }
+    this->refuse(now, flow, was_rejected ? refusal_reason::overloaded : refusal_reason::no_upstream);
+}
+
+void proxy_core::on_may_have_run(time_point now, proxy_flow& flow, const send_outcome& outcome)
+{
+    const bool is_answer = outcome.status == send_status::complete;
+    const bool may_repeat = flow.repeats == repeat_rule::repeatable && now < flow.until;
+    if (may_repeat) {
+        const auto next = this->picker.pick(now, this->roster, flow.wanted);
+        const bool is_useful = !next.upstream.empty() && next.has_room && now + next.expected < flow.until;
+        if (is_useful && this->may_send_again(now, flow)) {
+            flow.choice = next;
+            this->send(now, flow);
+            return;
+        }
+    }
+    if (is_answer) {
+        this->outbox.push_back(deliver_action{flow.facts.flow, flow.send});
+        this->finish(flow.facts.flow);
+        return;
+    }
+    this->fail(flow, outcome.status == send_status::timed_out);
+}
+
+void proxy_core::on_cancelled(time_point now, flow_id id)
+{
+    const auto found = this->flows.find(id);
+    if (found == this->flows.end()) {
+        return;
+    }
+    auto& flow = found->second;
+    if (flow.step == flow_step::waiting) {
+        this->line.remove(flow.wanted.rank, flow.arrived_at, id);
+        this->finish(id);
+        return;
+    }
+    //! NOTE What may run once only is left to end: a half done order helps nobody.
+    if (flow.repeats == repeat_rule::at_most_once) {
+        return;
+    }
+    this->outbox.push_back(cancel_send_action{id, flow.send});
+    this->picker.on_finished(now, flow.wanted, flow.choice, send_result::withdrawn, now - flow.sent_at);
+    this->finish(id);
+    this->retry_waiting(now);
+}
+
+void proxy_core::on_tick(time_point now)
+{
+    this->roster.on_tick(now);
+    this->picker.on_tick(now, this->roster);
+    this->retry_waiting(now);
+}
+
+void proxy_core::retry_waiting(time_point now)
+{
+    if (this->line.size() == 0) {
+        return;
+    }
+    for (const auto id : this->line.in_order()) {
+        auto& flow = this->flows.at(id);
+        this->line.remove(flow.wanted.rank, flow.arrived_at, id);
+        if (flow.routed_by != this->table.version() && !this->bind_route(flow)) {
+            this->outbox.push_back(no_route_action{id});
+            this->finish(id);
+            continue;
+        }
+        this->dispatch(now, flow);
+    }
+}
+
+duration proxy_core::retry_after(const proxy_flow& flow, refusal_reason reason)
+{
+    if (reason == refusal_reason::no_configuration || reason == refusal_reason::no_upstream) {
+        return this->configuration.startup_retry_after;
+    }
+    //! NOTE The wait that is expected now, spread so that those sent away do not come back together.
+    const auto wait = flow.choice.expected - flow.choice.work;
+    const auto bounded =
+        std::clamp<duration>(wait, this->configuration.min_retry_after, this->configuration.max_retry_after);
+    constexpr std::uint64_t steps = 1024;
+    return bounded + bounded * static_cast<std::int64_t>(this->random() % steps) / steps;
+}
+
+void proxy_core::refuse(time_point now, const proxy_flow& flow, refusal_reason reason)
+{
+    if (flow.may_have_run) {
+        this->fail(flow, now >= flow.until);
+        return;
+    }
+    this->outbox.push_back(refuse_action{flow.facts.flow, reason, this->retry_after(flow, reason)});
+    this->finish(flow.facts.flow);
+}
+
+void proxy_core::fail(const proxy_flow& flow, bool is_timeout)
+{
+    this->outbox.push_back(fail_action{flow.facts.flow, is_timeout});
+    this->finish(flow.facts.flow);
+}
+
+void proxy_core::finish(flow_id id)
+{
+    this->flows.erase(id);
+}
+} // namespace buckthornhill::proxy
--- /dev/null
+++ b/src/proxy/proxy_core.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "fleet/upstream_roster.h"
+#include "placement/upstream_picker.h"
+#include "proxy/proxy_flow.h"
+#include "proxy/retry_window.h"
+#include "proxy/service_rotation.h"
+#include "proxy/waiting_line.h"
+#include "routing/route_table.h"
+
+namespace buckthornhill::proxy {
+//! All decisions of one entry instance about callers' requests.
+class proxy_core
+{
+public:
+    proxy_core(place self, const proxy_configuration& configuration, random_hook random);
+    proxy_core(const proxy_core&) = delete;
+    proxy_core& operator=(const proxy_core&) = delete;
+
+    void on_request(time_point now, const request_facts& facts);
+    void on_send_outcome(time_point now, flow_id flow, std::uint64_t send, const send_outcome& outcome);
+    void on_cancelled(time_point now, flow_id flow);
+    void on_tick(time_point now);
+    //! Live instances, this one included: limits that hold for all together are divided by it.
+    void set_instances(time_point now, std::size_t count);
+
+    //! Returns whether the configuration is newer than the one in force.
+    bool on_configuration(routing::routing_configuration configuration);
+    fleet::upstream_roster& upstreams() { return this->roster; }
+    const fleet::upstream_roster& upstreams() const { return this->roster; }
+    const routing::route_table& routes() const { return this->table; }
+
+    std::vector<action> take_actions() { return std::exchange(this->outbox, {}); }
+    std::size_t flow_count() const { return this->flows.size(); }
+    std::size_t waiting_count() const { return this->line.size(); }
+    //! Facts for the log of a request that is being served; null when there is none.
+    const proxy_flow* find(flow_id flow) const;
+
+private:
+    bool bind_route(proxy_flow& flow);
+    //! Sends the request, lets it wait or refuses it.
+    void dispatch(time_point now, proxy_flow& flow);
+    void send(time_point now, proxy_flow& flow);
+    void retry_waiting(time_point now);
+    void on_not_run(time_point now, proxy_flow& flow, bool was_rejected);
+    void on_may_have_run(time_point now, proxy_flow& flow, const send_outcome& outcome);
+    bool may_send_again(time_point now, const proxy_flow& flow);
+    void refuse(time_point now, const proxy_flow& flow, refusal_reason reason);
+    void fail(const proxy_flow& flow, bool is_timeout);
+    void finish(flow_id flow);
+    duration retry_after(const proxy_flow& flow, refusal_reason reason);
+
+    proxy_configuration configuration;
+    random_hook random;
+    routing::route_table table;
+    fleet::upstream_roster roster;
+    placement::upstream_picker picker;
+    service_rotation rotation;
+    waiting_line line;
+    std::unordered_map<flow_id, proxy_flow> flows;
+    std::map<service_id, retry_window> retries;
+    std::size_t instances = 1;
+    std::vector<action> outbox;
+};
+} // namespace buckthornhill::proxy
--- /dev/null
+++ b/src/proxy/retry_window.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "global/units.h"
+
+namespace buckthornhill::proxy {
+//! Bounds further sends to a share of the first sends over a sliding window.
+class retry_window
+{
+public:
+    explicit retry_window(duration length)
+        : bucket_length(length / bucket_count)
+    {
+    }
+
+    void on_first_send(time_point now) { ++this->bucket_at(now).first; }
+
+    //! `ratio` of the first sends in the window, and `burst` more.
+    bool try_spend(time_point now, double ratio, double burst)
+    {
+        auto& current = this->bucket_at(now);
+        double first = 0;
+        double further = 0;
+        for (const auto& bucket : this->buckets) {
+            first += static_cast<double>(bucket.first);
+            further += static_cast<double>(bucket.further);
+        }
+        if (further + 1 > first * ratio + burst) {
+            return false;
+        }
+        ++current.further;
+        return true;
+    }
+
+private:
+    struct bucket
+    {
+        std::int64_t number = -1;
+        std::uint64_t first = 0;
+        std::uint64_t further = 0;
+    };
+
+    //! One more bucket than the window needs, so that its start is covered too.
+    static constexpr std::size_t bucket_count = 10;
+
+    bucket& bucket_at(time_point now)
+    {
+        const auto number = static_cast<std::int64_t>(now.time_since_epoch() / this->bucket_length);
+        for (auto& old : this->buckets) {
+            if (old.number <= number - static_cast<std::int64_t>(this->buckets.size())) {
+                old = bucket{};
+            }
+        }
+        auto& current = this->buckets[static_cast<std::size_t>(number) % this->buckets.size()];
+        current.number = number;
+        return current;
+    }
+
+    duration bucket_length;
+    std::array<bucket, bucket_count + 1> buckets;
+};
+} // namespace buckthornhill::proxy
--- /dev/null
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -0,0 +1,353 @@
+#include <catch2/catch.hpp>
+
+#include "proxy/proxy_core.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::proxy;
+using routing::repeat_rule;
+using std::chrono::milliseconds;
+
+namespace {
+const service_id orders("orders");
+const place here{region_id("r1"), domain_id("d1")};
+
+//! One instance's decisions with a clock and upstreams that the test plays itself.
+class proxy_fixture
+{
+public:
+    explicit proxy_fixture(int upstreams, const proxy_configuration& configuration = {})
+        : core(here, configuration, [this] { return ++this->random_state; })
+    {
+        this->configure(1, repeat_rule::repeatable);
+        for (int i = 0; i < upstreams; ++i) {
+            this->core.upstreams().upsert(this->now, entry(i));
+        }
+    }
+
+    static fleet::upstream_entry entry(int number)
+    {
+        fleet::upstream_entry made;
+        made.id = upstream_id("u" + std::to_string(number));
+        made.started_at_ms = 1;
+        made.service = orders;
+        made.address = "10.0.0.1:" + std::to_string(number + 1);
+        made.where = here;
+        made.slots = slot_count(2);
+        return made;
+    }
+
+    void configure(std::uint64_t version, repeat_rule repeats, const std::string& prefix = "/a/")
+    {
+        routing::routing_configuration configuration;
+        configuration.version = routing::configuration_version(version);
+        routing::route route;
+        route.name = "a";
+        route.host = "h";
+        route.path_prefix = prefix;
+        route.repeats = repeats;
+        route.services = {{orders, 1}};
+        route.timeout = milliseconds(1000);
+        route.objective = milliseconds(400);
+        route.max_upstreams = 2;
+        route.has_affinity = true;
+        route.rank = 1;
+        configuration.routes.push_back(route);
+        configuration.services[orders].cold_requests_per_second = 8;
+        this->core.on_configuration(configuration);
+    }
+
+    flow_id request(std::uint64_t object = 1, milliseconds time_left = milliseconds(3000),
+                    const std::string& path = "/a/x")
+    {
+        request_facts facts;
+        facts.flow = ++this->last_flow;
+        facts.host = "h";
+        facts.path = path;
+        facts.object = placement::object_hash(object);
+        facts.has_object = true;
+        facts.deadline = this->now + time_left;
+        this->core.on_request(this->now, facts);
+        return facts.flow;
+    }
+
+    //! The only action of the given kind, which must be the only action at all.
+    template <typename Action>
+    Action only()
+    {
+        const auto actions = this->core.take_actions();
+        REQUIRE(actions.size() == 1);
+        REQUIRE(std::holds_alternative<Action>(actions.front()));
+        return std::get<Action>(actions.front());
+    }
+
+    void answer(const start_send_action& send, const send_outcome& outcome)
+    {
+        this->core.on_send_outcome(this->now, send.flow, send.send, outcome);
+    }
+
+    time_point now{std::chrono::seconds(1000)};
+    flow_id last_flow;
+    std::uint64_t random_state = 0;
+    proxy_core core;
+};
+
+send_outcome success()
+{
+    send_outcome outcome;
+    outcome.status = send_status::complete;
+    outcome.is_success = true;
+    return outcome;
+}
+
+send_outcome of_status(send_status status)
+{
+    send_outcome outcome;
+    outcome.status = status;
+    return outcome;
+}
+
+send_outcome rejected()
+{
+    send_outcome outcome;
+    outcome.status = send_status::complete;
+    outcome.is_not_executed = true;
+    outcome.is_server_failure = true;
+    return outcome;
+}
+
+send_outcome misdirected()
+{
+    auto outcome = rejected();
+    outcome.is_misdirected = true;
+    return outcome;
+}
+} // namespace
+
+TEST_CASE("[GIVEN] a calm pool [WHEN] a request is answered [THEN] the answer is delivered", "[proxy]")
+{
+    proxy_fixture world(3);
+    world.request();
+    const auto send = world.only<start_send_action>();
+    CHECK(send.deadline == world.now + milliseconds(1000));
+    world.answer(send, success());
+    CHECK(world.only<deliver_action>().flow == send.flow);
+    CHECK(world.core.flow_count() == 0);
+}
+
+TEST_CASE("[GIVEN] nothing known yet [WHEN] a request comes [THEN] it is refused and not called unknown",
+          "[proxy]")
+{
+    proxy_core core(here, {}, [] { return std::uint64_t{1}; });
+    request_facts facts;
+    facts.flow = flow_id(1);
+    facts.host = "h";
+    facts.path = "/a/x";
+    core.on_request(time_point{}, facts);
+    const auto actions = core.take_actions();
+    REQUIRE(actions.size() == 1);
+    CHECK(std::get<refuse_action>(actions[0]).reason == refusal_reason::no_configuration);
+}
+
+TEST_CASE("[GIVEN] a request that may run once [WHEN] its connection breaks [THEN] it is not sent again",
+          "[proxy][at most once]")
+{
+    proxy_fixture world(3);
+    world.configure(2, repeat_rule::at_most_once);
+    for (const auto status : {send_status::broken, send_status::timed_out}) {
+        world.request();
+        const auto send = world.only<start_send_action>();
+        CHECK(send.needs_proven_connection);
+        world.answer(send, of_status(status));
+        CHECK(world.only<fail_action>().is_timeout == (status == send_status::timed_out));
+    }
+}
+
+TEST_CASE(
+    "[GIVEN] a request that may run once [WHEN] it certainly did not run [THEN] another upstream gets it",
+    "[proxy][at most once]")
+{
+    for (const auto& outcome : {rejected(), misdirected(), of_status(send_status::connect_failed)}) {
+        proxy_fixture world(3);
+        world.configure(2, repeat_rule::at_most_once);
+        world.request();
+        const auto first = world.only<start_send_action>();
+        world.answer(first, outcome);
+        const auto second = world.only<start_send_action>();
+        CHECK(second.upstream != first.upstream);
+        CHECK(second.send == first.send + 1);
+    }
+}
+
+TEST_CASE(
+    "[GIVEN] a request that broke at one upstream [WHEN] the next one is full [THEN] no refusal is said",
+    "[proxy][honest answers]")
+{
+    proxy_fixture world(2);
+    world.request();
+    const auto first = world.only<start_send_action>();
+    world.answer(first, of_status(send_status::broken));
+    const auto second = world.only<start_send_action>();
+    world.answer(second, rejected());
+    //! It may have run at the first upstream, so "not executed" would be false.
+    world.only<fail_action>();
+}
+
+TEST_CASE(
+    "[GIVEN] a repeatable request [WHEN] upstreams fail [THEN] at most its number of upstreams is reached",
+    "[proxy][retries]")
+{
+    proxy_fixture world(4);
+    world.request();
+    auto send = world.only<start_send_action>();
+    world.answer(send, of_status(send_status::broken));
+    send = world.only<start_send_action>();
+    world.answer(send, of_status(send_status::broken));
+    world.only<fail_action>();
+}
+
+TEST_CASE(
+    "[GIVEN] a pool where every send breaks [WHEN] load goes on [THEN] further sends keep to the budget",
+    "[proxy][pattern: answers are lost under load]")
+{
+    proxy_configuration configuration;
+    configuration.retry_burst = 20;
+    configuration.placement.failures_to_eject = 1000000; // the budget alone has to hold
+    proxy_fixture world(4, configuration);
+    int first = 0;
+    int further = 0;
+    for (int i = 0; i < 500; ++i) {
+        world.request(static_cast<std::uint64_t>(i));
+        for (auto actions = world.core.take_actions(); !actions.empty();
+             actions = world.core.take_actions()) {
+            for (const auto& action : actions) {
+                if (const auto* send = std::get_if<start_send_action>(&action)) {
+                    ++(send->send == 1 ? first : further);
+                    world.answer(*send, of_status(send_status::broken));
+                }
+            }
+        }
+        world.now += milliseconds(10);
+    }
+    CHECK(first > 100);
+    CHECK(further <= first * configuration.retry_ratio + configuration.retry_burst);
+}
+
+TEST_CASE(
+    "[GIVEN] a full pool [WHEN] more comes [THEN] it waits an eighth of its objective and is then refused",
+    "[proxy][pattern: more is asked than the pool holds]")
+{
+    proxy_fixture world(1);
+    std::vector<start_send_action> running;
+    for (int i = 0; i < 20; ++i) {
+        world.request();
+    }
+    for (const auto& action : world.core.take_actions()) {
+        if (const auto* send = std::get_if<start_send_action>(&action)) {
+            running.push_back(*send);
+        }
+    }
+    REQUIRE(world.core.waiting_count() > 0);
+    CHECK(running.size() <= 4); // 2 slots, up to 1.75 requests for each
+
+    SECTION("room comes in time")
+    {
+        world.now += milliseconds(20);
+        world.answer(running.front(), success());
+        const auto actions = world.core.take_actions();
+        CHECK(std::holds_alternative<deliver_action>(actions.at(0)));
+        CHECK(std::holds_alternative<start_send_action>(actions.at(1)));
+    }
+    SECTION("no room comes")
+    {
+        const auto waiting = world.core.waiting_count();
+        world.now += milliseconds(51);
+        world.core.on_tick(world.now);
+        const auto actions = world.core.take_actions();
+        CHECK(actions.size() == waiting);
+        for (const auto& action : actions) {
+            const auto& refusal = std::get<refuse_action>(action);
+            CHECK(refusal.reason == refusal_reason::overloaded);
+            CHECK(refusal.retry_after >= milliseconds(50));
+        }
+        CHECK(world.core.waiting_count() == 0);
+    }
+}
+
+TEST_CASE(
+    "[GIVEN] a caller with little time left [WHEN] no upstream can answer in it [THEN] it is told at once",
+    "[proxy][pattern: callers that come back late]")
+{
+    proxy_fixture world(2);
+    world.request(1, milliseconds(50));
+    CHECK(world.only<refuse_action>().reason == refusal_reason::overloaded);
+}
+
+TEST_CASE("[GIVEN] waiting requests [WHEN] the configuration drops their route [THEN] they are not sent",
+          "[proxy][configuration]")
+{
+    proxy_fixture world(1);
+    for (int i = 0; i < 8; ++i) {
+        world.request();
+    }
+    const auto waiting = world.core.waiting_count();
+    REQUIRE(waiting > 0);
+    world.core.take_actions();
+    world.configure(2, repeat_rule::repeatable, "/b/");
+    world.core.on_tick(world.now);
+    const auto actions = world.core.take_actions();
+    CHECK(actions.size() == waiting);
+    for (const auto& action : actions) {
+        CHECK(std::holds_alternative<no_route_action>(action));
+    }
+}
+
+TEST_CASE("[GIVEN] waiting requests [WHEN] their only upstream leaves [THEN] nothing is sent to it",
+          "[proxy][drain]")
+{
+    proxy_fixture world(1);
+    for (int i = 0; i < 8; ++i) {
+        world.request();
+    }
+    REQUIRE(world.core.waiting_count() > 0);
+    world.core.take_actions();
+    auto leaving = proxy_fixture::entry(0);
+    leaving.is_leaving = true;
+    world.core.upstreams().upsert(world.now, leaving);
+    world.core.on_tick(world.now);
+    for (const auto& action : world.core.take_actions()) {
+        CHECK(std::get<refuse_action>(action).reason == refusal_reason::no_upstream);
+    }
+    CHECK(world.core.waiting_count() == 0);
+}
+
+TEST_CASE(
+    "[GIVEN] a caller that leaves [WHEN] its request waits or runs [THEN] only what may repeat is stopped",
+    "[proxy][pattern: callers leave]")
+{
+    proxy_fixture world(2);
+    auto flow = world.request();
+    auto send = world.only<start_send_action>();
+    world.core.on_cancelled(world.now, flow);
+    CHECK(world.only<cancel_send_action>().send == send.send);
+
+    world.configure(2, repeat_rule::at_most_once);
+    flow = world.request();
+    send = world.only<start_send_action>();
+    world.core.on_cancelled(world.now, flow);
+    CHECK(world.core.take_actions().empty());
+    world.answer(send, success());
+    CHECK(world.core.flow_count() == 0);
+}
+
+TEST_CASE("[GIVEN] a split route [WHEN] many requests come [THEN] each service gets its weight", "[proxy]")
+{
+    routing::route route;
+    route.name = "split";
+    route.services = {{service_id("a"), 90}, {service_id("b"), 10}};
+    service_rotation rotation;
+    int to_b = 0;
+    for (int i = 0; i < 100; ++i) {
+        to_b += rotation.next(route) == service_id("b") ? 1 : 0;
+    }
+    CHECK(to_b == 10);
+}
--- /dev/null
+++ b/src/routing/route_table.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+#include "routing/routing_types.h"
+
+namespace buckthornhill::routing {
+//! The configuration in force, indexed by host and path. Never goes back to an older version.
+class route_table
+{
+public:
+    //! Takes `configuration` over unless it is older than the one in force or the same; returns whether it
+    //! did.
+    bool offer(routing_configuration configuration);
+
+    bool has_configuration() const { return this->current != nullptr; }
+    configuration_version version() const;
+    //! Route of `host` with the longest prefix that begins `path`, or null. Valid until the next `offer`.
+    const route* find(std::string_view host, std::string_view path) const;
+    //! Terms of `service`, or null when the configuration in force does not name it.
+    const service_policy* policy(const service_id& service) const;
+    const caller_limits& limits() const;
+
+private:
+    using prefix_index = std::unordered_map<std::string_view, const route*>;
+
+    std::unique_ptr<routing_configuration> current;
+    std::unordered_map<std::string_view, prefix_index> by_host;
+};
+} // namespace buckthornhill::routing
--- /dev/null
+++ b/src/routing/routing_types.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "global/ids.h"
+#include "global/strong_number.h"
+#include "global/units.h"
+
+//! Which service a request goes to and under which terms, as the operator's configuration says.
+namespace buckthornhill::routing {
+//! Rises with each configuration that the operator accepts.
+using configuration_version = strong_number<struct configuration_version_tag, std::uint64_t>;
+
+enum class repeat_rule {
+    repeatable,  //!< may run more than once
+    at_most_once //!< sent again only when it is certain that it did not run
+};
+
+struct service_share
+{
+    service_id service;
+    double weight = 1; //!< in proportion to the other shares of the route
+};
+
+struct route
+{
+    std::string name;
+    std::string host;
+    std::string path_prefix; //!< begins and ends with a slash
+    repeat_rule repeats = repeat_rule::at_most_once;
+    std::vector<service_share> services;
+    std::chrono::milliseconds timeout{0};   //!< the longest time that a caller is kept waiting
+    std::chrono::milliseconds objective{0}; //!< an answer within it is worth most to the caller
+    int rank = 0;                           //!< 0 is served first
+    int max_upstreams = 1;                  //!< that one request may be sent to
+    bool has_affinity = false;              //!< upstreams answer faster for objects they handled lately
+    std::set<region_id> homes;              //!< regions that may run it; empty when all may
+};
+
+struct service_policy
+{
+    std::string health_path;
+    std::int64_t max_connections = 0;       //!< of one upstream, from all instances together
+    std::chrono::milliseconds cold_time{0}; //!< after a start during which only few requests are borne
+    double cold_requests_per_second = 0;    //!< borne by one cold upstream; 0 means no limit
+};
+
+//! Bounds on what a caller may send.
+struct caller_limits
+{
+    std::size_t max_header_bytes = 16UL * 1024;
+    std::size_t max_body_bytes = 1024UL * 1024;
+    std::chrono::milliseconds header_timeout{5000};
+    std::chrono::milliseconds idle_timeout{60000};
+};
+
+struct routing_configuration
+{
+    configuration_version version;
+    std::vector<route> routes;
+    std::map<service_id, service_policy> services;
+    caller_limits limits;
+};
+} // namespace buckthornhill::routing
--- a/src/steering/steering_types.h
+++ b/src/steering/steering_types.h
@@ -5,6 +5,7 @@
 
 #include "admission/admission_types.h"
 #include "global/ids.h"
+#include "global/place.h"
 #include "global/units.h"
 
 //! The entry instance's choice of an owner by wait, distance and credit.
@@ -14,12 +15,6 @@
     latency   //!< stay near; shift only when waiting here costs more than the distance
 };
 
-struct place
-{
-    region_id region;
-    domain_id domain;
-};
-
 struct steering_configuration
 {
     weighing weigh = weighing::headroom;
--- /dev/null
+++ b/src/store/collection_watcher.cpp
@@ -0,0 +1,283 @@
+#include "store/collection_watcher.h"
+
+#include <algorithm>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "global/error.h"
+#include "global/log.h"
+#include "http/http_client.h"
+
+namespace buckthornhill::store {
+namespace {
+constexpr std::string_view log_part = "store";
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_gone = 410;
+constexpr unsigned first_failure_status = 300;
+constexpr std::size_t max_body_bytes = 8UL * 1024 * 1024;
+constexpr std::chrono::seconds unacknowledged_timeout{2};
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+http::client_limits limits_of(const collection_watcher_configuration& configuration)
+{
+    http::client_limits limits;
+    limits.max_body_bytes = max_body_bytes;
+    limits.connect_timeout = configuration.call_timeout;
+    limits.unacknowledged_timeout = unacknowledged_timeout;
+    return limits;
+}
+
+std::string describe(const http::call_result& result)
+{
+    if (result.status == http::call_status::complete) {
+        return "status " + std::to_string(result.response.status);
+    }
+    return result.detail.empty() ? "no answer" : result.detail;
+}
+} // namespace
+
+struct collection_watcher::watch
+{
+    explicit watch(boost::asio::io_context& context)
+        : timer(context)
+    {
+    }
+
+    boost::asio::steady_timer timer;
+    object_version at;
+    bool is_listed = false;
+    bool is_in_contact = false;
+    bool was_in_contact = false;
+    time_point contact_since{};
+    std::chrono::milliseconds backoff{0};
+    http::call_id call;
+    std::string list_after;
+    std::vector<object_change> pages; //!< of a list that is not complete yet
+};
+
+collection_watcher::collection_watcher(boost::asio::io_context& io, http::endpoint address,
+                                       store_dialect spelling,
+                                       const collection_watcher_configuration& settings, event_sink events,
+                                       random_hook source)
+    : context(io)
+    , server(std::move(address))
+    , dialect(std::move(spelling))
+    , configuration(settings)
+    , sink(std::move(events))
+    , random(std::move(source))
+    , client(std::make_unique<http::http_client>(io, limits_of(settings)))
+    , publication(std::make_unique<watch>(io))
+{
+    for (const auto which : all_collections) {
+        this->watches.emplace(which, std::make_unique<watch>(io));
+    }
+}
+
+collection_watcher::~collection_watcher() = default;
+
+void collection_watcher::start()
+{
+    for (const auto which : all_collections) {
+        this->call(which);
+    }
+}
+
+void collection_watcher::call(collection which)
+{
+    auto& state = *this->watches.at(which);
+    if (state.is_listed) {
+        const auto deadline = now() + this->configuration.wait + this->configuration.call_timeout;
+        state.call = this->client->send(
+            this->server, this->dialect.watch(which, state.at, this->configuration.wait), deadline,
+            http::connection_choice::reuse,
+            [this, which](const http::call_result& result) { this->on_watch_result(which, result); });
+        return;
+    }
+    state.call = this->client->send(
+        this->server, this->dialect.list(which, state.list_after), now() + this->configuration.call_timeout,
+        http::connection_choice::reuse,
+        [this, which](const http::call_result& result) { this->on_list_result(which, result); });
+}
+
+void collection_watcher::on_list_result(collection which, const http::call_result& result)
+{
+    auto& state = *this->watches.at(which);
+    if (result.status != http::call_status::complete || result.response.status != status_ok) {
+        this->on_failure(which, result);
+        return;
+    }
+    try {
+        auto page = this->dialect.decode_page(result.response.body);
+        this->on_contact(state);
+        for (auto& object : page.objects) {
+            state.list_after = object.name;
+            state.pages.push_back({std::move(object), false});
+        }
+        if (page.has_more && !state.list_after.empty()) {
+            this->call(which);
+            return;
+        }
+        collection_update update{which, true, this->is_after_outage(state), page.at, {}};
+        update.changes = std::exchange(state.pages, {});
+        state.list_after.clear();
+        state.is_listed = true;
+        this->deliver(which, std::move(update));
+    } catch (const buckthornhill::error& failure) {
+        log::warning(log_part, std::string("A list could not be read: ") + failure.what() + ".");
+        this->on_failure(which, result);
+    }
+}
+
+void collection_watcher::on_watch_result(collection which, const http::call_result& result)
+{
+    if (result.status == http::call_status::cancelled) {
+        this->call(which);
+        return;
+    }
+    auto& state = *this->watches.at(which);
+    const bool is_answer = result.status == http::call_status::complete;
+    if (is_answer && result.response.status == status_gone) {
+        log::info(log_part,
+                  "The history of " + std::string(to_string(which)) + " is gone; it is listed anew.");
+        state.is_listed = false;
+        this->call(which);
+        return;
+    }
+    if (!is_answer || result.response.status != status_ok) {
+        this->on_failure(which, result);
+        return;
+    }
+    try {
+        auto batch = this->dialect.decode_changes(result.response.body);
+        this->on_contact(state);
+        this->deliver(which,
+                      {which, false, this->is_after_outage(state), batch.at, std::move(batch.changes)});
+    } catch (const buckthornhill::error& failure) {
+        log::warning(log_part, std::string("Changes could not be read: ") + failure.what() + ".");
+        state.is_listed = false;
+        this->on_failure(which, result);
+    }
+}
+
+void collection_watcher::deliver(collection which, collection_update update)
+{
+    auto& state = *this->watches.at(which);
+    const auto at = update.at;
+    if (!this->sink(std::move(update))) {
+        state.is_listed = false;
+        this->retry_later(which);
+        return;
+    }
+    state.at = at;
+    this->call(which);
+}
+
+void collection_watcher::on_contact(watch& state)
+{
+    state.backoff = std::chrono::milliseconds(0);
+    if (state.is_in_contact) {
+        return;
+    }
+    state.is_in_contact = true;
+    //! NOTE The first contact of this process follows no outage that it knows of.
+    state.contact_since = state.was_in_contact ? now() : time_point{};
+    state.was_in_contact = true;
+    for (const auto& [which, candidate] : this->watches) {
+        if (candidate.get() == &state) {
+            this->sink(contact_change{which, true, {}});
+        }
+    }
+}
+
+bool collection_watcher::is_after_outage(const watch& state) const
+{
+    return state.contact_since != time_point{} &&
+           now() - state.contact_since < this->configuration.outage_memory;
+}
+
+void collection_watcher::on_failure(collection which, const http::call_result& result)
+{
+    auto& state = *this->watches.at(which);
+    state.pages.clear();
+    state.list_after.clear();
+    if (state.is_in_contact) {
+        state.is_in_contact = false;
+        this->sink(contact_change{which, false, describe(result)});
+    }
+    this->retry_later(which);
+}
+
+void collection_watcher::retry_later(collection which)
+{
+    auto& state = *this->watches.at(which);
+    state.backoff =
+        std::clamp(state.backoff * 2, this->configuration.min_backoff, this->configuration.max_backoff);
+    const auto jitter = std::chrono::milliseconds(
+        this->random() % static_cast<std::uint64_t>(this->configuration.min_backoff.count()));
+    state.timer.expires_after(state.backoff + jitter);
+    state.timer.async_wait([this, which](const boost::system::error_code& failure) {
+        if (!failure) {
+            this->call(which);
+        }
+    });
+}
+
+void collection_watcher::refresh(collection which)
+{
+    const auto& state = *this->watches.at(which);
+    if (state.is_in_contact && state.is_listed) {
+        this->client->cancel(state.call);
+    }
+}
+
+void collection_watcher::publish_instance(const std::string& name, const std::string& body)
+{
+    this->instance_name = name;
+    this->instance_body = body;
+    this->publish(false);
+}
+
+void collection_watcher::publish(bool exists)
+{
+    auto request = this->dialect.put(collection::instances, this->instance_name, this->instance_body, exists);
+    this->client->send(
+        this->server, std::move(request), now() + this->configuration.call_timeout,
+        http::connection_choice::reuse, [this, exists](const http::call_result& result) {
+            const bool is_answer = result.status == http::call_status::complete;
+            if (is_answer && result.response.status < first_failure_status) {
+                log::info(log_part, "This instance is registered as " + this->instance_name + ".");
+                return;
+            }
+            //! NOTE The object of an earlier run, or of a create whose answer was lost, is replaced.
+            if (is_answer && result.response.status == status_conflict && !exists) {
+                this->publish(true);
+                return;
+            }
+            this->publication->timer.expires_after(this->configuration.max_backoff);
+            this->publication->timer.async_wait([this](const boost::system::error_code& failure) {
+                if (!failure) {
+                    this->publish(false);
+                }
+            });
+        });
+}
+
+void collection_watcher::withdraw_instance(const std::string& name)
+{
+    this->publication->timer.cancel();
+    this->client->send(this->server, this->dialect.remove(collection::instances, name),
+                       now() + this->configuration.call_timeout, http::connection_choice::reuse,
+                       [](const http::call_result& result) {
+                           if (result.status != http::call_status::complete) {
+                               log::warning(log_part,
+                                            "This instance is still registered: " + describe(result) + ".");
+                           }
+                       });
+}
+} // namespace buckthornhill::store
--- /dev/null
+++ b/src/store/collection_watcher.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <variant>
+
+#include "global/units.h"
+#include "http/http_types.h"
+#include "store/collection_types.h"
+
+namespace boost::asio {
+class io_context;
+}
+namespace buckthornhill::http {
+class http_client;
+struct call_result;
+} // namespace buckthornhill::http
+
+namespace buckthornhill::store {
+//! Contact with the store for one collection was lost or came back.
+struct contact_change
+{
+    collection which = collection::configuration;
+    bool is_in_contact = false;
+    std::string detail;
+};
+
+using watcher_event = std::variant<collection_update, contact_change>;
+
+struct collection_watcher_configuration
+{
+    std::chrono::milliseconds wait{8000};         //!< one waiting call; silence of a channel lasts no longer
+    std::chrono::milliseconds call_timeout{2000}; //!< for an answer, beyond the wait
+    std::chrono::milliseconds min_backoff{150};   //!< after a failed call, doubled up to the maximum
+    std::chrono::milliseconds max_backoff{1200};
+    //! An entry that went missing so long after contact came back is gone and has not just lapsed.
+    std::chrono::milliseconds outage_memory{2000};
+};
+
+//! Lists each collection and then keeps one waiting call for it. Runs on the store thread.
+class collection_watcher
+{
+public:
+    //! Returns false when the event could not be taken; the collection is then listed again.
+    using event_sink = std::function<bool(watcher_event)>;
+
+    collection_watcher(boost::asio::io_context& context, http::endpoint server, store_dialect dialect,
+                       const collection_watcher_configuration& configuration, event_sink sink,
+                       random_hook random);
+    ~collection_watcher();
+    collection_watcher(const collection_watcher&) = delete;
+    collection_watcher& operator=(const collection_watcher&) = delete;
+
+    void start();
+    //! A peer knows more: the waiting call may have gone silent, so a new one takes its place.
+    void refresh(collection which);
+    //! Writes this instance's object, again and again until the store took it.
+    void publish_instance(const std::string& name, const std::string& body);
+    //! Removes it; tried once, since the process is about to end.
+    void withdraw_instance(const std::string& name);
+
+private:
+    struct watch;
+
+    void call(collection which);
+    void on_list_result(collection which, const http::call_result& result);
+    void on_watch_result(collection which, const http::call_result& result);
+    void on_failure(collection which, const http::call_result& result);
+    void on_contact(watch& state);
+    bool is_after_outage(const watch& state) const;
+    void deliver(collection which, collection_update update);
+    void retry_later(collection which);
+    void publish(bool exists);
+
+    boost::asio::io_context& context;
+    http::endpoint server;
+    store_dialect dialect;
+    collection_watcher_configuration configuration;
+    event_sink sink;
+    random_hook random;
+    std::unique_ptr<http::http_client> client;
+    std::map<collection, std::unique_ptr<watch>> watches;
+    std::unique_ptr<watch> publication;
+    std::string instance_name;
+    std::string instance_body;
+};
+} // namespace buckthornhill::store
--- a/src/platform/document_watcher.cpp
+++ b/src/store/document_watcher.cpp
@@ -1,4 +1,4 @@
-#include "platform/document_watcher.h"
+#include "store/document_watcher.h"
 
 #include <algorithm>
 
@@ -9,9 +9,9 @@
 #include "http/http_client.h"
 #include "lists/list_codec.h"
 
-namespace buckthornhill::platform {
+namespace buckthornhill::store {
 namespace {
-constexpr std::string_view log_part = "platform";
+constexpr std::string_view log_part = "store";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_modified = 304;
 constexpr unsigned status_not_found = 404;
@@ -122,7 +122,7 @@
     if (version == state.known) {
         return true;
     }
-    if (!this->sink({platform_event::event_kind::document, name, version, result.response.body})) {
+    if (!this->sink({store_event::event_kind::document, name, version, result.response.body})) {
         return false;
     }
     state.known = version;
@@ -150,7 +150,7 @@
         return item.second->was_read && !item.second->is_failing;
     });
     if (are_all_read) {
-        this->sink({platform_event::event_kind::all_read, lists::document_name::plans, {}, {}});
+        this->sink({store_event::event_kind::all_read, lists::document_name::plans, {}, {}});
     }
 }
-} // namespace buckthornhill::platform
+} // namespace buckthornhill::store
--- a/src/platform/document_watcher.h
+++ b/src/store/document_watcher.h
@@ -6,7 +6,7 @@
 
 #include "global/units.h"
 #include "http/http_types.h"
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 namespace boost::asio {
 class io_context;
@@ -17,13 +17,13 @@
 struct call_result;
 } // namespace buckthornhill::http
 
-namespace buckthornhill::platform {
+namespace buckthornhill::store {
 //! Keeps one waiting call for each document, and falls back to slow polls while the store fails.
 class document_watcher
 {
 public:
     //! Returns false when the event could not be taken; it is then offered again by the next poll.
-    using event_sink = std::function<bool(platform_event)>;
+    using event_sink = std::function<bool(store_event)>;
 
     document_watcher(boost::asio::io_context& context, http::endpoint store,
                      const watcher_configuration& configuration, event_sink sink, random_hook random);
@@ -50,4 +50,4 @@
     std::unique_ptr<http::http_client> client;
     std::map<lists::document_name, std::unique_ptr<watch>> watches;
 };
-} // namespace buckthornhill::platform
+} // namespace buckthornhill::store
--- a/src/platform/platform_types.cpp
+++ b/src/store/store_types.cpp
@@ -1,10 +1,10 @@
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 #include <charconv>
 
 #include "lists/list_codec.h"
 
-namespace buckthornhill::platform {
+namespace buckthornhill::store {
 object_version version_in(const http::http_response& response)
 {
     const auto text = http::find_header(response.headers, "X-Version");
@@ -20,4 +20,4 @@
     }
     return "/v1/objects/" + std::string(lists::to_string(name));
 }
-} // namespace buckthornhill::platform
+} // namespace buckthornhill::store
--- a/src/platform/platform_types.h
+++ b/src/store/store_types.h
@@ -8,9 +8,9 @@
 #include "lists/lists_types.h"
 
 //! The platform's object API: versions, conditional updates and watches; its list of instances lags.
-namespace buckthornhill::platform {
+namespace buckthornhill::store {
 //! One thing the store said, on its way to the decisions.
-struct platform_event
+struct store_event
 {
     enum class event_kind { document, all_read };
 
@@ -32,4 +32,4 @@
 object_version version_in(const http::http_response& response);
 //! Path of a document in the object API.
 std::string path_of_document(lists::document_name name);
-} // namespace buckthornhill::platform
+} // namespace buckthornhill::store
--- a/tools/bench/policy_bench.cpp
+++ b/tools/bench/policy_bench.cpp
@@ -142,7 +142,7 @@
         for (int i = 0; i < entry_count; ++i) {
             this->owners.push_back(std::make_unique<admission::service_admission>(
                 the_service, admission::admission_configuration{}, source));
-            this->selectors.emplace_back(name_of(i), steering::place{region_id("r"), domain_of(i)},
+            this->selectors.emplace_back(name_of(i), place{region_id("r"), domain_of(i)},
                                          steering::steering_configuration{}, source);
         }
         for (int i = 0; i < upstream_count; ++i) {
