End what is in progress when a stop reaches its grace

Ruled out: the directory (a direct request). Now new requests are refused from half of the grace on and the process ends when nothing is in progress, at 5.7 s at the latest.

--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -29,7 +29,10 @@
 constexpr unsigned first_failure_status = 300;
 constexpr unsigned first_server_failure_status = 500;
 //! Of the grace after the signal to stop; then the process ends with what is still in progress.
-constexpr double usable_grace = 0.8;
+constexpr double usable_grace = 0.95;
+//! Of the grace; from then on new requests are refused, so that those in progress can end.
+constexpr double accepting_grace = 0.5;
+constexpr std::chrono::milliseconds retry_after_leave{50}; //!< another instance serves at once
 constexpr int longest_cache = 3; //!< times the time that a look-up answer allows
 
 time_point now()
@@ -75,6 +78,11 @@
     return bounds;
 }
 
+duration share_of_grace(const gateway_settings& settings, double share)
+{
+    return std::chrono::duration_cast<duration>(settings.stop_grace * share);
+}
+
 proxy::send_outcome outcome_of(const http::call_result& result, const upstream_terms& terms)
 {
     proxy::send_outcome outcome;
@@ -278,6 +286,10 @@
         io.route = route->name;
     }
     this->flows.emplace(flow, std::move(io));
+    if (this->is_leaving && time - this->leave_started >= share_of_grace(this->settings, accepting_grace)) {
+        this->answer(flow, this->dialect.write_refusal(retry_after_leave), "refused", "leaving");
+        return;
+    }
     exchange->on_cancelled([this, flow] {
         this->core.on_cancelled(now(), flow);
         this->run_actions();
@@ -444,7 +456,7 @@
         return;
     }
     const auto since = time - this->leave_started;
-    const auto end = std::chrono::duration_cast<duration>(this->settings.stop_grace * usable_grace);
+    const auto end = share_of_grace(this->settings, usable_grace);
     const bool is_idle = this->flows.empty() && since >= this->settings.lookup_ttl * longest_cache;
     if (is_idle || since >= end) {
         this->is_stopped = true;
