--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -281,6 +281,7 @@
     flow_io io;
     io.exchange = exchange;
     io.request_id = std::move(terms.request_id);
+    io.object = std::move(terms.object);
     io.arrived_at = time;
     if (const auto* route = this->core.routes().find(facts.host, facts.path)) {
         io.route = route->name;
@@ -431,6 +432,7 @@
                 {"outcome", outcome},
                 {"reason", reason},
                 {"status", status},
+                {"object", flow.object},
                 {"sends", flow.send},
                 {"upstream", flow.upstream.str()},
                 {"took_ms", to_milliseconds(now() - flow.arrived_at)},
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -53,6 +53,7 @@
     {
         http::exchange_ptr exchange;
         std::string request_id;
+        std::string object;
         std::string route;
         time_point arrived_at;
         upstream_id upstream;
