--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_engine.h"
 
 #include <algorithm>
+#include <ctime>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +18,8 @@
 constexpr std::string_view log_part = "requests";
 constexpr std::chrono::milliseconds tick_interval{20};
 constexpr std::chrono::seconds gauge_interval{1};
+//! Longer than a busy machine delays a tick, shorter than any caller's patience.
+constexpr std::chrono::milliseconds shortest_pause{500};
 constexpr std::size_t descriptors_for_files = 200;  //!< kept back by the platform
 constexpr std::size_t descriptors_for_others = 300; //!< peers, upstreams, the store, look-ups
 constexpr std::size_t max_lookup_connections = 512;
@@ -40,6 +43,13 @@
     return std::chrono::steady_clock::now();
 }
 
+std::chrono::nanoseconds time_since_boot()
+{
+    timespec since_boot{};
+    clock_gettime(CLOCK_BOOTTIME, &since_boot);
+    return std::chrono::seconds(since_boot.tv_sec) + std::chrono::nanoseconds(since_boot.tv_nsec);
+}
+
 http::http_response plain_response(unsigned status, std::string text)
 {
     http::http_response response;
@@ -137,6 +147,7 @@
     , view(spelling, this->core)
     , timer(std::make_unique<gateway_timer>(context))
     , upstreams(std::make_unique<http::http_client>(context, upstream_limits(wanted)))
+    , pauses(shortest_pause)
 {
     peer_circle::hooks peer_hooks;
     peer_hooks.on_collection = [this](const store::collection_update& update) {
@@ -180,6 +191,7 @@
 void gateway_engine::on_tick()
 {
     const auto time = now();
+    this->notice_pause(time);
     this->core.on_tick(time);
     this->run_actions();
     this->circle->on_tick(time);
@@ -191,6 +203,37 @@
     }
 }
 
+void gateway_engine::notice_pause(time_point time)
+{
+    const auto paused = this->pauses.observe(time, time_since_boot());
+    if (paused == duration{}) {
+        return;
+    }
+    log::event("gateway", "paused", {{"ms", to_milliseconds(paused)}, {"waiting", this->core.waiting_count()}});
+    this->core.on_pause(time);
+    this->circle->on_pause(time);
+    for (const auto which : store::all_collections) {
+        this->callbacks.on_behind(which);
+    }
+}
+
+std::vector<std::string> gateway_engine::apply(const gateway_settings& fresh)
+{
+    std::vector<std::string> changed;
+    const auto take = [&changed](auto& current, const auto& wanted, const char* name) {
+        if (current != wanted) {
+            current = wanted;
+            changed.emplace_back(name);
+        }
+    };
+    take(this->settings.lookup_ttl, fresh.lookup_ttl, "lookup-ttl");
+    take(this->settings.stop_grace, fresh.stop_grace, "stop-grace");
+    take(this->settings.proxy.retry_ratio, fresh.proxy.retry_ratio, "retry-ratio");
+    take(this->settings.proxy.retry_burst, fresh.proxy.retry_burst, "retry-burst");
+    this->core.set_retry_budget(fresh.proxy.retry_ratio, fresh.proxy.retry_burst);
+    return changed;
+}
+
 void gateway_engine::update_gauges()
 {
     this->metrics.set_gauge("live_instances", static_cast<double>(this->circle->live_count()));
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -8,6 +8,7 @@
 #include "gateway/gateway_dialect.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/peer_circle.h"
+#include "global/pause_detector.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "proxy/proxy_core.h"
@@ -42,6 +43,8 @@
 
     void start();
     void on_store_event(const store::watcher_event& event);
+    //! Takes over the settings that may change while the process runs; returns the names of those that did.
+    std::vector<std::string> apply(const gateway_settings& fresh);
     //! Starts a planned stop: callers are sent elsewhere, requests in progress end.
     void begin_leave();
     const membership::member_description& self() const { return this->circle->self(); }
@@ -70,6 +73,7 @@
     void on_tick();
     void update_gauges();
     void share_limits();
+    void notice_pause(time_point now);
     void schedule_tick();
     void advance_leave(time_point now);
     bool is_serving() const;
@@ -102,6 +106,7 @@
     flow_id last_flow;
     time_point leave_started{};
     time_point next_gauges{};
+    pause_detector pauses;
     bool is_leaving = false;
     bool is_stopped = false;
 };
--- a/src/gateway/gateway_module.cpp
+++ b/src/gateway/gateway_module.cpp
@@ -8,12 +8,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/value_from.hpp>
 #include <prometheus/registry.h>
 
 #include "gateway/gateway_engine.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/news_codec.h"
 #include "global/bounded_ring.h"
+#include "global/error.h"
 #include "global/log.h"
 #include "operations/operations_service.h"
 
@@ -23,6 +26,7 @@
 namespace {
 constexpr std::size_t store_ring_capacity = 256;
 constexpr std::size_t status_ring_capacity = 64;
+constexpr std::chrono::seconds reload_interval{5}; //!< between two looks at the settings
 
 random_hook make_random()
 {
@@ -33,9 +37,10 @@
 
 struct gateway_module::implementation
 {
-    implementation(const gateway_settings& wanted, gateway_dialect spelling)
+    implementation(const gateway_settings& wanted, gateway_dialect spelling, reload_hook hook)
         : settings(wanted)
         , dialect(std::move(spelling))
+        , reload(std::move(hook))
         , registry(std::make_shared<prometheus::Registry>())
         , metrics(*this->registry)
         , store_ring(store_ring_capacity,
@@ -53,6 +58,7 @@
         , operations_listener(this->operations_context, this->settings.operations, this->registry,
                               [this](operations::status_query query) { return this->query_ring.push(query); })
         , signals(this->main_context, SIGTERM, SIGINT, SIGHUP)
+        , reload_timer(this->main_context)
     {
     }
 
@@ -85,6 +91,33 @@
             [this](const operations::status_answer& answer) { this->operations_listener.on_answer(answer); });
     }
 
+    //! The settings may change with or without a signal.
+    void schedule_reload()
+    {
+        this->reload_timer.expires_after(reload_interval);
+        this->reload_timer.async_wait([this](const boost::system::error_code& failure) {
+            if (!failure) {
+                this->reload_settings();
+                this->schedule_reload();
+            }
+        });
+    }
+
+    void reload_settings()
+    {
+        try {
+            const auto fresh = this->reload();
+            if (fresh) {
+                asio::post(this->request_context, [this, fresh = *fresh] {
+                    const auto changed = this->engine.apply(fresh);
+                    log::event("gateway", "reload", {{"changed", boost::json::value_from(changed)}});
+                });
+            }
+        } catch (const buckthornhill::error& failure) {
+            log::event("gateway", "reload_refused", {{"reason", failure.what()}});
+        }
+    }
+
     void await_signal()
     {
         this->signals.async_wait([this](const boost::system::error_code& failure, int number) {
@@ -92,7 +125,7 @@
                 return;
             }
             if (number == SIGHUP) {
-                log::event("gateway", "reload", {{"changed", false}});
+                this->reload_settings();
             } else {
                 asio::post(this->request_context, [this] { this->engine.begin_leave(); });
                 asio::post(this->store_context,
@@ -104,6 +137,7 @@
 
     gateway_settings settings;
     gateway_dialect dialect;
+    reload_hook reload;
     std::shared_ptr<prometheus::Registry> registry;
     gateway_metrics metrics;
     asio::io_context main_context;
@@ -117,10 +151,11 @@
     store::collection_watcher watcher;
     operations::operations_service operations_listener;
     asio::signal_set signals;
+    asio::steady_timer reload_timer;
 };
 
-gateway_module::gateway_module(const gateway_settings& settings, gateway_dialect dialect)
-    : state(std::make_unique<implementation>(settings, std::move(dialect)))
+gateway_module::gateway_module(const gateway_settings& settings, gateway_dialect dialect, reload_hook reload)
+    : state(std::make_unique<implementation>(settings, std::move(dialect), std::move(reload)))
 {
 }
 
@@ -137,6 +172,7 @@
                 {"domain", self.domain.str()},
                 {"callers", self.caller_address}});
     parts.await_signal();
+    parts.schedule_reload();
     parts.engine.start();
     parts.watcher.start();
     parts.watcher.publish_instance(self.id.str(), encode_registration(self));
--- a/src/gateway/gateway_module.h
+++ b/src/gateway/gateway_module.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 #include "gateway/gateway_dialect.h"
 #include "gateway/gateway_settings.h"
@@ -11,7 +13,11 @@
 class gateway_module
 {
 public:
-    gateway_module(const gateway_settings& settings, gateway_dialect dialect);
+    //! Returns the settings when they changed since the last call, and nothing otherwise. Throws
+    //! `buckthornhill::error` when they are wrong; those in force then stay.
+    using reload_hook = std::function<std::optional<gateway_settings>()>;
+
+    gateway_module(const gateway_settings& settings, gateway_dialect dialect, reload_hook reload);
     ~gateway_module();
     gateway_module(const gateway_module&) = delete;
     gateway_module& operator=(const gateway_module&) = delete;
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -40,6 +40,8 @@
         return "overloaded";
     case refusal_reason::deadline_passed:
         return "deadline-passed";
+    case refusal_reason::paused:
+        return "paused";
     }
     return "unknown";
 }
@@ -67,6 +69,12 @@
     this->picker.set_instances(now, known);
 }
 
+void proxy_core::set_retry_budget(double ratio, double burst)
+{
+    this->configuration.retry_ratio = ratio;
+    this->configuration.retry_burst = burst;
+}
+
 const proxy_flow* proxy_core::find(flow_id flow) const
 {
     const auto found = this->flows.find(flow);
@@ -271,6 +279,15 @@
     this->retry_waiting(now);
 }
 
+void proxy_core::on_pause(time_point now)
+{
+    for (const auto id : this->line.in_order()) {
+        const auto& flow = this->flows.at(id);
+        this->line.remove(flow.wanted.rank, flow.arrived_at, id);
+        this->refuse(now, flow, refusal_reason::paused);
+    }
+}
+
 void proxy_core::retry_waiting(time_point now)
 {
     if (this->line.size() == 0) {
--- a/src/proxy/tests/proxy_core_tests.cpp
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "global/pause_detector.h"
 #include "proxy/proxy_core.h"
 
 using namespace buckthornhill;
@@ -339,6 +340,37 @@
     CHECK(world.core.flow_count() == 0);
 }
 
+TEST_CASE("[GIVEN] requests that wait [WHEN] the process stood still [THEN] they are refused and not sent",
+          "[proxy][pattern: a machine freezes and wakes]")
+{
+    proxy_fixture world(1);
+    for (int i = 0; i < 20; ++i) {
+        world.request();
+    }
+    const auto waiting = world.core.waiting_count();
+    REQUIRE(waiting > 0);
+    world.core.take_actions();
+    world.core.on_pause(world.now);
+    const auto actions = world.core.take_actions();
+    CHECK(actions.size() == waiting);
+    for (const auto& action : actions) {
+        CHECK(std::get<refuse_action>(action).reason == refusal_reason::paused);
+    }
+    CHECK(world.core.waiting_count() == 0);
+}
+
+TEST_CASE("[GIVEN] clocks of which one counts suspension [WHEN] they drift apart [THEN] a pause is seen", "[proxy]")
+{
+    pause_detector detector(milliseconds(500));
+    time_point steady{std::chrono::seconds(5)};
+    std::chrono::nanoseconds boot = std::chrono::seconds(9);
+    CHECK(detector.observe(steady, boot) == duration{});
+    CHECK(detector.observe(steady += milliseconds(20), boot += milliseconds(20)) == duration{});
+    CHECK(detector.observe(steady += milliseconds(20), boot += milliseconds(3020)) == milliseconds(3020));
+    CHECK(detector.observe(steady += milliseconds(20), boot += milliseconds(20)) == duration{});
+    CHECK(detector.observe(steady += milliseconds(900), boot += milliseconds(900)) == milliseconds(900));
+}
+
 TEST_CASE("[GIVEN] a split route [WHEN] many requests come [THEN] each service gets its weight", "[proxy]")
 {
     routing::route route;
