--- a/src/gateway/gateway_module.cpp
+++ b/src/gateway/gateway_module.cpp
@@ -187,6 +187,7 @@
     store_thread.join();
     operations_thread.join();
     log::event("gateway", "stopped", {{"instance", self.id.str()}});
+    log::flush();
     return 0;
 }
 } // namespace buckthornhill::gateway
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -27,13 +27,13 @@
 
     proxy::proxy_configuration proxy;
     store::collection_watcher_configuration watcher;
-    //! One peer near and one far each round: news reaches nine instances in three rounds, at two small
-    //! messages an instance and round.
+    //! One peer near and one far each round, with the records of all but a large fleet: news reaches nine
+    //! instances in two rounds, and an end is seen before callers stop trusting a look-up's answer.
     membership::membership_configuration membership{.heartbeat_interval = std::chrono::milliseconds(1500),
-                                                    .gone_timeout = std::chrono::milliseconds(4000),
+                                                    .gone_timeout = std::chrono::milliseconds(4500),
                                                     .domain_targets = 1,
                                                     .random_targets = 1,
-                                                    .max_gossip_records = 4};
+                                                    .max_gossip_records = 48};
 
     //! How long callers may use a look-up answer. Some use it three times as long, and a stopping instance
     //! serves all that time.
--- a/src/gateway/news_codec.cpp
+++ b/src/gateway/news_codec.cpp
@@ -18,13 +18,15 @@
     region,
     domain,
     peer,
-    caller,
-    field_count
-};
+    caller, field_count };
+constexpr std::size_t brief_field_count = region;
 
 json::array encode_member(const membership::member_record& record)
 {
     const auto& member = record.description;
+    if (record.is_brief()) {
+        return {member.id.str(), member.incarnation.value(), static_cast<int>(record.state), record.sequence};
+    }
     return {member.id.str(),     member.incarnation.value(), static_cast<int>(record.state),
             record.sequence,     member.region.str(),        member.domain.str(),
             member.peer_address, member.caller_address};
@@ -38,7 +40,7 @@
 membership::member_record decode_member(const json::value& value)
 {
     const auto& fields = value.as_array();
-    if (fields.size() != field_count) {
+    if (fields.size() != field_count && fields.size() != brief_field_count) {
         throw gateway_error("a member record has " + std::to_string(fields.size()) + " fields");
     }
     membership::member_record record;
@@ -50,6 +52,9 @@
     }
     record.state = static_cast<membership::member_state>(number);
     record.sequence = fields[sequence].to_number<std::uint64_t>();
+    if (fields.size() == brief_field_count) {
+        return record;
+    }
     record.description.region = region_id(text_at(fields, region));
     record.description.domain = domain_id(text_at(fields, domain));
     record.description.peer_address = text_at(fields, peer);
--- a/src/gateway/peer_circle.h
+++ b/src/gateway/peer_circle.h
@@ -73,5 +73,6 @@
     std::set<store::collection> in_contact;
     std::set<store::collection> fetching;
     time_point next_round{};
+    std::size_t news_count = 0;
 };
 } // namespace buckthornhill::gateway
--- a/src/global/log.cpp
+++ b/src/global/log.cpp
@@ -123,6 +123,11 @@
                                 boost::log::keywords::auto_flush = true);
 }
 
+void flush()
+{
+    boost::log::core::get()->flush();
+}
+
 void write(severity level, std::string_view part, std::string_view sentence)
 {
     const std::lock_guard lock(guard);
--- a/src/global/log.h
+++ b/src/global/log.h
@@ -18,6 +18,8 @@
 };
 
 void initialize(const log_configuration& configuration);
+//! Waits until every line written so far is out; for the end of the process.
+void flush();
 void write(severity level, std::string_view part, std::string_view sentence);
 
 //! One decision or change of belief as a JSON line: what happened, on which grounds. Bounded by rate for
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -62,6 +62,9 @@
     if (record.description.id == this->own.description.id || record.state == member_state::seeded) {
         return false;
     }
+    if (record.is_brief() && !this->can_renew(record)) {
+        return false;
+    }
     auto [position, is_new] = this->members.try_emplace(record.description.id);
     auto& known = position->second;
     if (!is_new && !is_newer(record, known.record)) {
@@ -69,7 +72,9 @@
     }
     const auto old_state = is_new ? member_state::seeded : known.record.state;
     const bool is_other_run = known.record.description.incarnation != record.description.incarnation;
+    auto description = record.is_brief() ? known.record.description : record.description;
     known.record = record;
+    known.record.description = std::move(description);
     known.heard_at = now;
     if (old_state == record.state && !is_other_run) {
         return false;
@@ -78,6 +83,13 @@
     return is_serving(old_state) || is_serving(record.state);
 }
 
+bool member_table::can_renew(const member_record& record) const
+{
+    const auto* known = this->find(record.description.id);
+    return known != nullptr && known->record.state != member_state::seeded &&
+           known->record.description.incarnation == record.description.incarnation;
+}
+
 bool member_table::merge(time_point now, const gossip& records)
 {
     bool has_changed = false;
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -46,6 +46,8 @@
 
 private:
     bool merge_one(time_point now, const member_record& record);
+    //! The member that a brief record is about is known under the same incarnation.
+    bool can_renew(const member_record& record) const;
     void append_rotation(gossip& records);
     void append_random(std::vector<instance_id>& from, std::size_t count, std::vector<instance_id>& to);
     duration gone_timeout() const;
--- a/src/membership/membership_types.h
+++ b/src/membership/membership_types.h
@@ -29,11 +29,14 @@
 };
 
 //! One member as gossip carries it. A higher incarnation, then a higher sequence, replaces a lower one.
+//! In a brief record the description has only the id and the incarnation; it renews a record that is known.
 struct member_record
 {
     member_description description;
     member_state state = member_state::live;
     std::uint64_t sequence = 0; //!< heartbeats that this incarnation has sent
+
+    bool is_brief() const { return this->description.peer_address.empty(); }
 };
 
 using gossip = std::vector<member_record>;
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -70,3 +70,28 @@
     }
     REQUIRE(told.size() > 1);
 }
+
+SCENARIO("a brief record renews a known member and makes no unknown one", "[membership]")
+{
+    const auto brief = [](std::uint64_t incarnation, std::uint64_t sequence) {
+        member_record record;
+        record.description.id = instance_id("a");
+        record.description.incarnation = incarnation_id(incarnation);
+        record.state = member_state::live;
+        record.sequence = sequence;
+        return record;
+    };
+    auto table = make_table();
+    table.set_state(member_state::live);
+    // [GIVEN] No such member [WHEN] A brief record arrives [THEN] it is left out
+    table.merge(start, {brief(7, 1)});
+    REQUIRE(table.find(instance_id("a")) == nullptr);
+    // [GIVEN] A known member [WHEN] Brief records of the same run arrive [THEN] it stays, with its addresses
+    table.merge(start, {{describe("a", 7), member_state::live, 2}});
+    table.merge(start + milliseconds(2500), {brief(7, 3)});
+    REQUIRE_FALSE(table.on_tick(start + milliseconds(3500)));
+    REQUIRE(table.find(instance_id("a"))->record.description.peer_address == "a:1");
+    // [WHEN] A brief record of another run arrives [THEN] the addresses may be wrong, so it is left out
+    table.merge(start + milliseconds(2600), {brief(8, 1)});
+    REQUIRE(table.find(instance_id("a"))->record.description.incarnation == incarnation_id(7));
+}
