--- a/src/gateway/peer_circle.cpp
+++ b/src/gateway/peer_circle.cpp
@@ -15,6 +15,8 @@
 constexpr std::string_view collection_path = "/peer/collection";
 constexpr std::chrono::milliseconds news_timeout{700};        //!< well under one round
 constexpr std::chrono::milliseconds collection_timeout{2000}; //!< a list of some hundred kilobytes
+//! Time for the store to bring what a peer has already; its answer and the pause after it take less.
+constexpr std::chrono::milliseconds store_head_start{900};
 constexpr std::size_t max_message_bytes = 8UL * 1024 * 1024;
 constexpr std::size_t max_peer_connections = 256;
 constexpr unsigned status_ok = 200;
@@ -69,6 +71,7 @@
     , callbacks(std::move(reactions))
     , members(describe(wanted), wanted.membership, std::move(random))
     , client(std::make_unique<http::http_client>(context, limits_of(wanted)))
+    , lag(store_head_start)
 {
     http::server_limits limits;
     limits.max_body_bytes = max_message_bytes;
@@ -125,6 +128,7 @@
         log::event(log_part, "members_changed", {{"live", this->live_count()}, {"reason", "silence"}});
         this->callbacks.on_members_changed();
     }
+    this->catch_up(now);
     if (now < this->next_round) {
         return;
     }
@@ -192,29 +196,34 @@
         log::event(log_part, "members_changed", {{"live", this->live_count()}, {"reason", "news"}});
         this->callbacks.on_members_changed();
     }
-    this->compare(news);
+    this->compare(now, news);
 }
 
-bool peer_circle::knows_more(const peer_news& news, collection which) const
+void peer_circle::compare(time_point now, const peer_news& news)
 {
-    const auto theirs = news.changed_at.find(which);
-    if (theirs == news.changed_at.end()) {
-        return false;
+    if (news.members.empty()) {
+        return;
+    }
+    for (const auto& [which, version] : news.changed_at) {
+        const auto& mine = this->view.mirror(which);
+        if (!mine.is_known() || version > mine.at()) {
+            this->lag.note(now, which, version, news.members.front().description.peer_address);
+        }
     }
-    const auto& mine = this->view.mirror(which);
-    return !mine.is_known() || theirs->second > mine.at();
+    this->catch_up(now);
 }
 
-void peer_circle::compare(const peer_news& news)
+void peer_circle::catch_up(time_point now)
 {
-    for (const auto which : store::all_collections) {
-        if (!this->knows_more(news, which) || news.members.empty()) {
-            continue;
-        }
-        if (this->in_contact.contains(which)) {
-            this->callbacks.on_behind(which);
+    const auto known = [this](collection which) { return this->view.mirror(which).at(); };
+    const auto has_store = [this](collection which) {
+        return this->in_contact.contains(which) && this->view.mirror(which).is_known();
+    };
+    for (const auto& fetch : this->lag.due(now, known, has_store)) {
+        if (fetch.has_store) {
+            this->callbacks.on_behind(fetch.which);
         }
-        this->fetch(news.members.front().description.peer_address, which);
+        this->fetch(fetch.peer_address, fetch.which);
     }
 }
 
--- a/src/gateway/peer_circle.h
+++ b/src/gateway/peer_circle.h
@@ -8,6 +8,7 @@
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/news_codec.h"
+#include "gateway/store_lag.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "membership/member_table.h"
@@ -59,9 +60,11 @@
     void on_news(time_point now, const peer_news& news);
     void tell(time_point now, const instance_id& peer);
     void tell_all(time_point now);
-    void compare(const peer_news& news);
+    //! Notes of what the sender knows more than this instance.
+    void compare(time_point now, const peer_news& news);
+    //! Asks peers for what the store has not brought in time.
+    void catch_up(time_point now);
     void fetch(const std::string& address, store::collection which);
-    bool knows_more(const peer_news& news, store::collection which) const;
     peer_news own_news();
 
     gateway_settings settings;
@@ -72,6 +75,7 @@
     std::unique_ptr<http::http_server> listener;
     std::set<store::collection> in_contact;
     std::set<store::collection> fetching;
+    store_lag lag;
     time_point next_round{};
     std::size_t news_count = 0;
 };
--- /dev/null
+++ b/src/gateway/store_lag.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "global/units.h"
+#include "store/collection_types.h"
+
+namespace buckthornhill::gateway {
+//! Collections of which a peer knows more than this instance, and when to ask that peer for them. The store's
+//! own answer is usually on its way and far smaller than a peer's whole collection, so it gets a head start.
+class store_lag
+{
+public:
+    struct due_fetch
+    {
+        store::collection which = store::collection::configuration;
+        std::string peer_address;
+        bool has_store = false; //!< the store was heard of, so its waiting call may have gone silent
+    };
+
+    explicit store_lag(duration head_start)
+        : head_start(head_start)
+    {
+    }
+
+    void note(time_point now, store::collection which, object_version version, const std::string& peer_address)
+    {
+        this->lags.try_emplace(which, lag{version, peer_address, now});
+    }
+
+    //! Fetches to make now; each comes again after another head start unless the lag ends.
+    //! `known` gives the version known here (0 for none), `has_store` whether the store answers for it.
+    std::vector<due_fetch> due(time_point now, const std::function<object_version(store::collection)>& known,
+                               const std::function<bool(store::collection)>& has_store)
+    {
+        std::erase_if(this->lags, [&](const auto& item) { return known(item.first) >= item.second.version; });
+        std::vector<due_fetch> fetches;
+        for (auto& [which, behind] : this->lags) {
+            const bool is_new = !behind.was_fetched;
+            const bool may_wait = has_store(which) || !is_new;
+            if (may_wait && now - behind.since < this->head_start) {
+                continue;
+            }
+            behind.since = now;
+            behind.was_fetched = true;
+            fetches.push_back({which, behind.peer_address, has_store(which)});
+        }
+        return fetches;
+    }
+
+private:
+    struct lag
+    {
+        object_version version;
+        std::string peer_address;
+        time_point since;
+        bool was_fetched = false;
+    };
+
+    duration head_start;
+    std::map<store::collection, lag> lags;
+};
+} // namespace buckthornhill::gateway
