--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -36,7 +36,7 @@
 //! Of the grace; from then on new requests are refused, so that those in progress can end.
 constexpr double accepting_grace = 0.5;
 constexpr std::chrono::milliseconds retry_after_leave{50}; //!< another instance serves at once
-constexpr int longest_cache = 3; //!< times the time that a look-up answer allows
+constexpr int longest_cache = 3;                           //!< times the time that a look-up answer allows
 
 time_point now()
 {
@@ -209,7 +209,8 @@
     if (paused == duration{}) {
         return;
     }
-    log::event("gateway", "paused", {{"ms", to_milliseconds(paused)}, {"waiting", this->core.waiting_count()}});
+    log::event("gateway", "paused",
+               {{"ms", to_milliseconds(paused)}, {"waiting", this->core.waiting_count()}});
     this->core.on_pause(time);
     this->circle->on_pause(time);
     for (const auto which : store::all_collections) {
--- a/src/gateway/news_codec.cpp
+++ b/src/gateway/news_codec.cpp
@@ -18,7 +18,9 @@
     region,
     domain,
     peer,
-    caller, field_count };
+    caller,
+    field_count
+};
 constexpr std::size_t brief_field_count = region;
 
 json::array encode_member(const membership::member_record& record)
--- a/src/gateway/store_lag.h
+++ b/src/gateway/store_lag.h
@@ -26,7 +26,8 @@
     {
     }
 
-    void note(time_point now, store::collection which, object_version version, const std::string& peer_address)
+    void note(time_point now, store::collection which, object_version version,
+              const std::string& peer_address)
     {
         this->lags.try_emplace(which, lag{version, peer_address, now});
     }
--- a/src/gateway/tests/store_lag_tests.cpp
+++ b/src/gateway/tests/store_lag_tests.cpp
@@ -16,7 +16,8 @@
     std::vector<store_lag::due_fetch> due(milliseconds after)
     {
         return this->lag.due(
-            start + after, [this](collection) { return this->known; }, [this](collection) { return this->has_store; });
+            start + after, [this](collection) { return this->known; },
+            [this](collection) { return this->has_store; });
     }
 
     store_lag lag{milliseconds(900)};
--- a/src/http/tests/http_edge_tests.cpp
+++ b/src/http/tests/http_edge_tests.cpp
@@ -26,12 +26,13 @@
 {
 public:
     echo_server()
-        : server(this->context, {"127.0.0.1", 0}, server_limits{}, [this](const exchange_ptr& exchange) {
-            ++this->requests;
-            http_response response;
-            response.body = exchange->request().body;
-            exchange->respond(std::move(response));
-        })
+        : server(this->context, {"127.0.0.1", 0}, server_limits{},
+                 [this](const exchange_ptr& exchange) {
+                     ++this->requests;
+                     http_response response;
+                     response.body = exchange->request().body;
+                     exchange->respond(std::move(response));
+                 })
         , thread([this] { this->context.run(); })
     {
     }
@@ -118,15 +119,16 @@
 }
 } // namespace
 
-TEST_CASE("[GIVEN] a request whose end is unclear [WHEN] it arrives [THEN] it is refused and nothing follows it",
-          "[http][smuggling]")
+TEST_CASE(
+    "[GIVEN] a request whose end is unclear [WHEN] it arrives [THEN] it is refused and nothing follows it",
+    "[http][smuggling]")
 {
     const std::string tail = "\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
-    for (const auto* headers : {"Host: h\r\nTransfer-Encoding: xchunked\r\nContent-Length: 4",
-                                "Host: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 4",
-                                "Host: h\r\nTransfer-Encoding: gzip, chunked", "Host: h\r\nTransfer-Encoding: gzip",
-                                "Host: h\r\nContent-Length: 4\r\nContent-Length: 5", "Content-Length: 0",
-                                "Host: h\r\nHost: i"}) {
+    for (const auto* headers :
+         {"Host: h\r\nTransfer-Encoding: xchunked\r\nContent-Length: 4",
+          "Host: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 4",
+          "Host: h\r\nTransfer-Encoding: gzip, chunked", "Host: h\r\nTransfer-Encoding: gzip",
+          "Host: h\r\nContent-Length: 4\r\nContent-Length: 5", "Content-Length: 0", "Host: h\r\nHost: i"}) {
         echo_server server;
         const auto answer = server.talk(std::string("POST / HTTP/1.1\r\n") + headers + tail);
         CAPTURE(headers);
@@ -135,12 +137,14 @@
     }
 }
 
-TEST_CASE("[GIVEN] a caller that expects 100-continue [WHEN] it waits for it [THEN] it gets it and the answer",
-          "[http]")
+TEST_CASE(
+    "[GIVEN] a caller that expects 100-continue [WHEN] it waits for it [THEN] it gets it and the answer",
+    "[http]")
 {
     echo_server server;
-    const auto answer = server.talk("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n"
-                                    "Connection: close\r\n\r\nok");
+    const auto answer =
+        server.talk("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n"
+                    "Connection: close\r\n\r\nok");
     CHECK(answer.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"));
     CHECK(answer.ends_with("ok"));
 }
@@ -160,8 +164,9 @@
     CHECK(ending == boost::asio::error::connection_reset);
 }
 
-TEST_CASE("[GIVEN] a response without a length [WHEN] its connection closes [THEN] it is whole for who takes it",
-          "[http]")
+TEST_CASE(
+    "[GIVEN] a response without a length [WHEN] its connection closes [THEN] it is whole for who takes it",
+    "[http]")
 {
     for (const bool accepts : {true, false}) {
         scripted_server server([](tcp::socket& socket) {
@@ -209,8 +214,8 @@
 TEST_CASE("[GIVEN] headers of a message [WHEN] they are passed on [THEN] those of one connection stay behind",
           "[http]")
 {
-    const header_list received{{"Connection", "close, X-Hop"}, {"x-hop", "1"},     {"Keep-Alive", "timeout=5"},
-                               {"Transfer-Encoding", "chunked"}, {"Host", "h"}, {"X-End", "2"}};
+    const header_list received{{"Connection", "close, X-Hop"},   {"x-hop", "1"}, {"Keep-Alive", "timeout=5"},
+                               {"Transfer-Encoding", "chunked"}, {"Host", "h"},  {"X-End", "2"}};
     header_list passed;
     copy_end_to_end(received, passed);
     CHECK(passed == header_list{{"Host", "h"}, {"X-End", "2"}});
--- a/src/placement/cold_allowance.cpp
+++ b/src/placement/cold_allowance.cpp
@@ -36,9 +36,10 @@
     }
     const auto key = hash_text(upstream.str());
     const auto own_rank = rendezvous_weight(hash_text(this->self.str()), key);
-    const auto before = std::count_if(this->last_known.begin(), this->last_known.end(), [&](const auto& item) {
-        return item.first != this->self && rendezvous_weight(hash_text(item.first.str()), key) > own_rank;
-    });
+    const auto before =
+        std::count_if(this->last_known.begin(), this->last_known.end(), [&](const auto& item) {
+            return item.first != this->self && rendezvous_weight(hash_text(item.first.str()), key) > own_rank;
+        });
     return static_cast<std::size_t>(before) < this->sponsor_count(requests_per_second);
 }
 
--- a/src/placement/placement_types.h
+++ b/src/placement/placement_types.h
@@ -19,8 +19,8 @@
     std::chrono::microseconds region_distance{12000}; //!< one way between regions
     std::size_t first_choices = 2; //!< upstreams that share an object; the rest only when both are full
     //! Requests at an upstream for each slot, waiting ones included, by rank: an urgent request may wait
-    //! where a less urgent one may not. Work on an unknown object takes about three times as long as on a known
-    //! one, so two others ahead at the upstream that knows it cost less than a move.
+    //! where a less urgent one may not. Work on an unknown object takes about three times as long as on a
+    //! known one, so two others ahead at the upstream that knows it cost less than a move.
     std::vector<double> load_limit_by_rank{3.0, 2.75, 2.5};
     std::chrono::milliseconds report_fresh{200};   //!< a load report counts in full for so long
     std::chrono::milliseconds report_stale{1200};  //!< and not at all after so long
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -260,7 +260,8 @@
     std::ptrdiff_t most = 0;
     for (auto first = sent.begin(); first != sent.end(); ++first) {
         const auto end = *first + std::chrono::seconds(1);
-        most = std::max(most, std::count_if(first, sent.end(), [end](time_point when) { return when < end; }));
+        most =
+            std::max(most, std::count_if(first, sent.end(), [end](time_point when) { return when < end; }));
     }
     return most;
 }
@@ -269,16 +270,19 @@
 TEST_CASE("[GIVEN] many instances and a cold upstream [WHEN] each sends all it may [THEN] the rate is kept",
           "[placement][pattern: a failure domain comes back cold]")
 {
-    for (const auto& [count, rate] : {std::pair<std::size_t, double>{9, 8.0}, {91, 3.3}, {3, 8.0}, {1, 0.5}}) {
+    for (const auto& [count, rate] :
+         {std::pair<std::size_t, double>{9, 8.0}, {91, 3.3}, {3, 8.0}, {1, 0.5}}) {
         const auto known = make_instances(count);
-        const auto sent = send_all(count, rate, std::chrono::seconds(10), [&known](std::size_t) { return known; });
+        const auto sent =
+            send_all(count, rate, std::chrono::seconds(10), [&known](std::size_t) { return known; });
         CHECK(static_cast<double>(most_in_a_second(sent)) <= std::max(1.0, rate));
         CHECK(static_cast<double>(sent.size()) > rate * 10 * 0.7);
     }
 }
 
-TEST_CASE("[GIVEN] instances that know each other [WHEN] they lose sight of each other [THEN] the rate is kept",
-          "[placement][pattern: machines are cut off while upstreams are cold]")
+TEST_CASE(
+    "[GIVEN] instances that know each other [WHEN] they lose sight of each other [THEN] the rate is kept",
+    "[placement][pattern: machines are cut off while upstreams are cold]")
 {
     const auto known = make_instances(9);
     int calls = 0;
--- a/src/proxy/proxy_core.h
+++ b/src/proxy/proxy_core.h
@@ -27,8 +27,8 @@
     void on_tick(time_point now);
     //! The process stood still: what waits is refused, since its callers may have left long ago.
     void on_pause(time_point now);
-    //! Limits that hold for all instances together are divided: retries by the `live` ones, this one included,
-    //! and cold upstreams over those that are `known`, live or not.
+    //! Limits that hold for all instances together are divided: retries by the `live` ones, this one
+    //! included, and cold upstreams over those that are `known`, live or not.
     void set_instances(time_point now, std::size_t live, const std::vector<instance_id>& known);
 
     void set_retry_budget(double ratio, double burst);
--- a/src/proxy/proxy_types.h
+++ b/src/proxy/proxy_types.h
@@ -40,8 +40,8 @@
     no_configuration, //!< nothing is known yet
     no_upstream,      //!< no upstream of the service may get the request
     overloaded,       //!< no upstream could answer in time
-    deadline_passed, //!< it could not be sent in time
-    paused           //!< this process stood still while the request waited
+    deadline_passed,  //!< it could not be sent in time
+    paused            //!< this process stood still while the request waited
 };
 std::string_view to_string(refusal_reason reason);
 
--- a/src/proxy/tests/proxy_core_tests.cpp
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -359,7 +359,8 @@
     CHECK(world.core.waiting_count() == 0);
 }
 
-TEST_CASE("[GIVEN] clocks of which one counts suspension [WHEN] they drift apart [THEN] a pause is seen", "[proxy]")
+TEST_CASE("[GIVEN] clocks of which one counts suspension [WHEN] they drift apart [THEN] a pause is seen",
+          "[proxy]")
 {
     pause_detector detector(milliseconds(500));
     time_point steady{std::chrono::seconds(5)};
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -195,9 +195,9 @@
     auto& state = *this->watches.at(which);
     const auto time = now();
     const bool goes_on = time - state.changed_at < 2 * this->configuration.max_pause;
-    state.pause = goes_on ? std::clamp(state.pause * 2, this->configuration.min_pause,
-                                       this->configuration.max_pause)
-                          : this->configuration.min_pause;
+    state.pause =
+        goes_on ? std::clamp(state.pause * 2, this->configuration.min_pause, this->configuration.max_pause)
+                : this->configuration.min_pause;
     state.changed_at = time;
     this->call_later(which, state.pause);
 }
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -31,16 +31,16 @@
 
 struct collection_watcher_configuration
 {
-    std::chrono::milliseconds wait{15000}; //!< one waiting call; silence of a channel lasts no longer
+    std::chrono::milliseconds wait{15000};        //!< one waiting call; silence of a channel lasts no longer
     std::chrono::milliseconds call_timeout{2000}; //!< for an answer, beyond the wait
     std::chrono::milliseconds min_backoff{150};   //!< after a failed call, doubled up to the maximum
     std::chrono::milliseconds max_backoff{1200};
     //! An entry that went missing so long after contact came back is gone and has not just lapsed.
     std::chrono::milliseconds outage_memory{2000};
     //! Pause after a change before the next call, so that changes in quick succession come in one answer. It
-    //! doubles while they go on, up to a quarter of the time in which a change has to be in force.
-    std::chrono::milliseconds min_pause{60};
-    std::chrono::milliseconds max_pause{500};
+    //! doubles while they go on, up to two fifths of the two seconds in which a change has to be in force.
+    std::chrono::milliseconds min_pause{250};
+    std::chrono::milliseconds max_pause{800};
     //! The instances' list seeds heartbeats, which bring the rest, so it is read but not watched.
     std::chrono::milliseconds instances_interval{30000};
 };
