--- a/src/http/tests/http_edge_tests.cpp
+++ b/src/http/tests/http_edge_tests.cpp
@@ -191,7 +191,8 @@
     });
     auto terms = terms_for(milliseconds(5000));
     terms.accepts_unframed = true;
-    CHECK(call(server.address(), std::move(terms)).status == call_status::broken);
+    const auto result = call(server.address(), std::move(terms));
+    CHECK(result.status == call_status::broken);
 }
 
 TEST_CASE("[GIVEN] a response to another request [WHEN] it comes first [THEN] it is skipped", "[http]")
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -272,7 +272,7 @@
 {
     for (const auto& [count, rate] :
          {std::pair<std::size_t, double>{9, 8.0}, {91, 3.3}, {3, 8.0}, {1, 0.5}}) {
-        const auto known = make_instances(count);
+        auto known = make_instances(count);
         const auto sent =
             send_all(count, rate, std::chrono::seconds(10), [&known](std::size_t) { return known; });
         CHECK(static_cast<double>(most_in_a_second(sent)) <= std::max(1.0, rate));
@@ -284,7 +284,7 @@
     "[GIVEN] instances that know each other [WHEN] they lose sight of each other [THEN] the rate is kept",
     "[placement][pattern: machines are cut off while upstreams are cold]")
 {
-    const auto known = make_instances(9);
+    auto known = make_instances(9);
     int calls = 0;
     const auto sent = send_all(9, 8.0, std::chrono::seconds(10), [&](std::size_t i) {
         const bool is_start = ++calls <= 9;
