--- /dev/null
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -0,0 +1,226 @@
+#include <charconv>
+#include <functional>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "http/http_server.h"
+#include "store/collection_watcher.h"
+#include "store/store_errors.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::store;
+using std::chrono::milliseconds;
+
+namespace {
+std::uint64_t number_in(std::string_view text)
+{
+    std::uint64_t number = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), number).ec != std::errc{}) {
+        throw store_error("not a number");
+    }
+    return number;
+}
+
+//! Objects by name, and the version, as `name,name@version`, with a `+` at the end when more follow.
+list_page decode_names(const std::string& body)
+{
+    list_page page;
+    const auto at = body.find('@');
+    if (at == std::string::npos) {
+        throw store_error("no version");
+    }
+    page.at = object_version(number_in(body.substr(at + 1)));
+    page.has_more = body.ends_with('+');
+    std::string name;
+    for (const char letter : body.substr(0, at) + ",") {
+        if (letter != ',') {
+            name += letter;
+        } else if (!name.empty()) {
+            page.objects.push_back({std::exchange(name, {}), "text", page.at});
+        }
+    }
+    return page;
+}
+
+store_dialect make_dialect()
+{
+    store_dialect dialect;
+    dialect.list = [](collection which, const std::string& after) {
+        http::http_request request;
+        request.target = "/" + std::string(to_string(which)) + "?after=" + after;
+        return request;
+    };
+    dialect.watch = [](collection which, object_version since, milliseconds) {
+        http::http_request request;
+        request.target = "/" + std::string(to_string(which)) + "?since=" + std::to_string(since.value());
+        return request;
+    };
+    dialect.put = [](collection, const std::string& name, const std::string&, bool exists) {
+        http::http_request request;
+        request.method = exists ? "PUT" : "POST";
+        request.target = "/put/" + name;
+        return request;
+    };
+    dialect.decode_page = decode_names;
+    dialect.decode_changes = [](const std::string& body) {
+        const auto page = decode_names(body);
+        change_batch batch{{}, page.at};
+        for (const auto& object : page.objects) {
+            batch.changes.push_back({object, false});
+        }
+        return batch;
+    };
+    return dialect;
+}
+
+//! A store that answers the upstreams' collection from a script, and leaves all other calls waiting.
+class scripted_store
+{
+public:
+    using answer = std::pair<unsigned, std::string>;
+
+    explicit scripted_store(std::vector<answer> answers)
+        : script(std::move(answers))
+        , server(this->context, {"127.0.0.1", 0}, http::server_limits{},
+                 [this](const http::exchange_ptr& exchange) { this->on_call(exchange); })
+        , watcher(
+              this->context, this->server.local_endpoint(), make_dialect(), quick(),
+              [this](const watcher_event& event) { return this->on_event(event); },
+              [] { return std::uint64_t{0}; })
+    {
+    }
+
+    //! Runs until the script is at its end.
+    void play(bool publishes = false)
+    {
+        if (publishes) {
+            this->watcher.publish_instance("n1", "{}");
+        } else {
+            this->watcher.start();
+        }
+        this->context.run();
+    }
+
+    std::vector<std::string> calls;
+    std::vector<collection_update> updates;
+    std::vector<bool> contacts;
+    std::function<bool()> takes = [] { return true; };
+
+private:
+    static collection_watcher_configuration quick()
+    {
+        collection_watcher_configuration configuration;
+        configuration.min_backoff = milliseconds(1);
+        configuration.max_backoff = milliseconds(1);
+        configuration.min_pause = milliseconds(1);
+        configuration.max_pause = milliseconds(1);
+        return configuration;
+    }
+
+    void on_call(const http::exchange_ptr& exchange)
+    {
+        const auto& request = exchange->request();
+        const bool is_scripted =
+            request.target.starts_with("/upstreams") || request.target.starts_with("/put");
+        if (!is_scripted) {
+            this->waiting.push_back(exchange);
+            return;
+        }
+        this->calls.push_back(request.method + " " + request.target);
+        if (this->next == this->script.size()) {
+            this->waiting.push_back(exchange);
+            this->context.stop();
+            return;
+        }
+        http::http_response response;
+        response.status = this->script[this->next].first;
+        response.body = this->script[this->next].second;
+        ++this->next;
+        exchange->respond(std::move(response));
+        if (request.method == "PUT") {
+            this->context.stop();
+        }
+    }
+
+    bool on_event(const watcher_event& event)
+    {
+        if (const auto* contact = std::get_if<contact_change>(&event)) {
+            this->contacts.push_back(contact->is_in_contact);
+            return true;
+        }
+        if (!this->takes()) {
+            return false;
+        }
+        this->updates.push_back(std::get<collection_update>(event));
+        return true;
+    }
+
+    boost::asio::io_context context;
+    std::vector<answer> script;
+    std::size_t next = 0;
+    std::vector<http::exchange_ptr> waiting;
+    http::http_server server;
+    collection_watcher watcher;
+};
+} // namespace
+
+TEST_CASE("[GIVEN] a list of several pages [WHEN] it is read [THEN] it comes whole, then changes follow",
+          "[store]")
+{
+    scripted_store store({{200, "a,b@5+"}, {200, "c@6"}, {200, "d@9"}});
+    store.play();
+    CHECK(store.calls == std::vector<std::string>{"GET /upstreams?after=", "GET /upstreams?after=b",
+                                                  "GET /upstreams?since=6", "GET /upstreams?since=9"});
+    REQUIRE(store.updates.size() == 2);
+    CHECK(store.updates[0].is_whole);
+    CHECK(store.updates[0].changes.size() == 3);
+    CHECK(store.updates[0].at == object_version(6));
+    CHECK_FALSE(store.updates[1].is_whole);
+    CHECK_FALSE(store.updates[1].after_outage);
+    CHECK(store.contacts == std::vector<bool>{true});
+}
+
+TEST_CASE(
+    "[GIVEN] a store that forgot its history [WHEN] a call is answered 410 [THEN] the list is read anew",
+    "[store]")
+{
+    scripted_store store({{200, "a@5"}, {410, ""}, {200, "b@8"}});
+    store.play();
+    REQUIRE(store.updates.size() == 2);
+    CHECK(store.updates[1].is_whole);
+    CHECK(store.updates[1].changes.at(0).object.name == "b");
+}
+
+TEST_CASE("[GIVEN] a store that turns this instance away [WHEN] it answers again [THEN] changes are after an "
+          "outage",
+          "[store][pattern: the store refuses some machines]")
+{
+    for (const auto& refusal : {scripted_store::answer{503, ""}, {429, ""}, {200, "unreadable"}}) {
+        scripted_store store({{200, "a@5"}, refusal, refusal, {200, "@7"}, {200, "b@8"}});
+        store.play();
+        REQUIRE(store.updates.size() >= 2);
+        CHECK(store.updates[1].after_outage);
+        CHECK(store.contacts == std::vector<bool>{true, false, true});
+    }
+}
+
+TEST_CASE("[GIVEN] a ring that is full [WHEN] an update cannot be taken [THEN] the list is read again",
+          "[store]")
+{
+    scripted_store store({{200, "a@5"}, {200, "a@5"}});
+    int offered = 0;
+    store.takes = [&offered] { return ++offered > 1; };
+    store.play();
+    REQUIRE(store.updates.size() == 1);
+    CHECK(store.updates[0].is_whole);
+    CHECK(store.calls.size() == 3);
+}
+
+TEST_CASE("[GIVEN] an object of an earlier run [WHEN] this instance registers [THEN] it replaces it",
+          "[store]")
+{
+    scripted_store store({{409, ""}, {200, ""}});
+    store.play(true);
+    CHECK(store.calls == std::vector<std::string>{"POST /put/n1", "PUT /put/n1"});
+}
