--- a/src/gateway/news_codec.cpp
+++ b/src/gateway/news_codec.cpp
@@ -26,7 +26,7 @@
 json::array encode_member(const membership::member_record& record)
 {
     const auto& member = record.description;
-    if (record.is_brief()) {
+    if (record.is_brief) {
         return {member.id.str(), member.incarnation.value(), static_cast<int>(record.state), record.sequence};
     }
     return {member.id.str(),     member.incarnation.value(), static_cast<int>(record.state),
@@ -55,6 +55,7 @@
     record.state = static_cast<membership::member_state>(number);
     record.sequence = fields[sequence].to_number<std::uint64_t>();
     if (fields.size() == brief_field_count) {
+        record.is_brief = true;
         return record;
     }
     record.description.region = region_id(text_at(fields, region));
--- a/src/gateway/peer_circle.cpp
+++ b/src/gateway/peer_circle.cpp
@@ -157,10 +157,7 @@
     const std::size_t others = news.members.size() - 1;
     const std::size_t whole = others == 0 ? 0 : 1 + ++this->news_count % others;
     for (std::size_t i = 1; i < news.members.size(); ++i) {
-        if (i != whole) {
-            auto& description = news.members[i].description;
-            description = {description.id, description.incarnation, {}, {}, {}, {}};
-        }
+        news.members[i].is_brief = i != whole;
     }
     return news;
 }
--- a/src/gateway/tests/news_codec_tests.cpp
+++ b/src/gateway/tests/news_codec_tests.cpp
@@ -24,13 +24,13 @@
 {
     peer_news news;
     news.members.push_back({make_member(), membership::member_state::leaving, 9});
-    news.members.push_back({{instance_id("entry-2"), incarnation_id(5), {}, {}, {}, {}}, {}, 3});
+    news.members.push_back({{instance_id("entry-2"), incarnation_id(5), {}, {}, {}, {}}, {}, 3, true});
     news.changed_at[store::collection::upstreams] = object_version(41);
 
     const auto back = decode_news(encode_news(news));
 
     REQUIRE(back.members.size() == 2);
-    CHECK(back.members[1].is_brief());
+    CHECK(back.members[1].is_brief);
     CHECK(back.members[1].sequence == 3);
     const auto& record = back.members.front();
     CHECK(record.state == membership::member_state::leaving);
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -62,7 +62,7 @@
     if (record.description.id == this->own.description.id || record.state == member_state::seeded) {
         return false;
     }
-    if (record.is_brief() && !this->can_renew(record)) {
+    if (record.is_brief && !this->can_renew(record)) {
         return false;
     }
     auto [position, is_new] = this->members.try_emplace(record.description.id);
@@ -72,9 +72,10 @@
     }
     const auto old_state = is_new ? member_state::seeded : known.record.state;
     const bool is_other_run = known.record.description.incarnation != record.description.incarnation;
-    auto description = record.is_brief() ? known.record.description : record.description;
+    auto description = record.is_brief ? known.record.description : record.description;
     known.record = record;
     known.record.description = std::move(description);
+    known.record.is_brief = false;
     known.heard_at = now;
     if (old_state == record.state && !is_other_run) {
         return false;
--- a/src/membership/membership_types.h
+++ b/src/membership/membership_types.h
@@ -35,8 +35,7 @@
     member_description description;
     member_state state = member_state::live;
     std::uint64_t sequence = 0; //!< heartbeats that this incarnation has sent
-
-    bool is_brief() const { return this->description.peer_address.empty(); }
+    bool is_brief = false;      //!< see above
 };
 
 using gossip = std::vector<member_record>;
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -79,6 +79,7 @@
         record.description.incarnation = incarnation_id(incarnation);
         record.state = member_state::live;
         record.sequence = sequence;
+        record.is_brief = true;
         return record;
     };
     auto table = make_table();
