--- a/tests/processes/failure_tests.cpp
+++ b/tests/processes/failure_tests.cpp
@@ -214,6 +214,7 @@
         run_audited(*system, {{milliseconds(1000), [&leaver] { leaver.process->signal(SIGTERM); }}});
     const auto exit_code = leaver.process->wait();
     // [THEN] It ends well, and every request was answered as done
+    INFO(run.report.json());
     require_promises(run);
     REQUIRE(exit_code == 0);
     REQUIRE(run.report.total().unknown == 0);
