Let requests wait for the first probe of an upstream just taken over

When an instance stops, the new owner of its upstreams lets none in until its first probe is answered; in a region where it owns nothing else its limit is 0 so long, and it refused at once. Ruled out: the gateway's code (not in that path) and load alone: load only makes the probe slower. Now such an upstream is unverified and not closed, and requests queue within their deadlines.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -42,11 +42,11 @@
     return found == this->by_service.end() ? nullptr : &found->second;
 }
 
-void admission_controller::set_admitting(time_point now, const service_id& service,
-                                         const upstream_id& upstream, bool value)
+void admission_controller::set_admittance(time_point now, const service_id& service,
+                                          const upstream_id& upstream, admittance value)
 {
     if (auto* found = this->find(service)) {
-        found->set_admitting(now, upstream, value);
+        found->set_admittance(now, upstream, value);
     }
 }
 
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -15,7 +15,8 @@
     void own(time_point now, const ownership::upstream_description& upstream);
     //! Gives up every upstream that `keep` does not name.
     void release_all_but(time_point now, const std::vector<upstream_id>& keep);
-    void set_admitting(time_point now, const service_id& service, const upstream_id& upstream, bool value);
+    void set_admittance(time_point now, const service_id& service, const upstream_id& upstream,
+                        admittance value);
     void on_load_report(time_point now, const service_id& service, const upstream_id& upstream,
                         std::int64_t in_use);
     void restart_ramps(time_point now);
--- a/src/admission/admission_types.h
+++ b/src/admission/admission_types.h
@@ -51,6 +51,13 @@
     upstream_id avoid;          //!< an upstream that already failed this request
 };
 
+//! Whether an owned upstream may get work.
+enum class admittance {
+    open,
+    unverified, //!< taken over just now: requests wait for its first probe
+    closed
+};
+
 enum class admission_kind { started, queued, refused };
 
 struct admission_decision
--- a/src/admission/service_admission.cpp
+++ b/src/admission/service_admission.cpp
@@ -32,7 +32,7 @@
         this->owned.emplace(upstream.id, upstream_slots(upstream, now, this->configuration));
     }
     if (this->released.erase(upstream.id) > 0) {
-        this->owned.at(upstream.id).set_admitting(now, true);
+        this->owned.at(upstream.id).set_admittance(now, admittance::open);
     }
     this->resize_queue(now);
 }
@@ -43,7 +43,7 @@
     if (found == this->owned.end() || this->released.contains(upstream)) {
         return;
     }
-    found->second.set_admitting(now, false);
+    found->second.set_admittance(now, admittance::closed);
     if (found->second.in_flight() == 0) {
         this->owned.erase(found);
     } else {
@@ -65,11 +65,11 @@
     }
 }
 
-void service_admission::set_admitting(time_point now, const upstream_id& upstream, bool value)
+void service_admission::set_admittance(time_point now, const upstream_id& upstream, admittance value)
 {
     const auto found = this->owned.find(upstream);
     if (found != this->owned.end() && !this->released.contains(upstream)) {
-        found->second.set_admitting(now, value);
+        found->second.set_admittance(now, value);
     }
 }
 
@@ -140,6 +140,12 @@
     return std::clamp<std::int64_t>(left, 0, this->remote_cap);
 }
 
+bool service_admission::has_unverified() const
+{
+    return std::any_of(this->owned.begin(), this->owned.end(),
+                       [](const auto& item) { return item.second.is_unverified(); });
+}
+
 upstream_slots* service_admission::choose_upstream(time_point now, const admission_request& request)
 {
     //! NOTE Rendezvous hashing among upstreams with room keeps a target on one warm cache, within its bound.
@@ -209,7 +215,8 @@
     if (this->is_paused) {
         return this->refuse(now, refusal_reason::resynchronizing, request.priority);
     }
-    if (this->total_slots() == 0 || this->total_limit(now) == 0) {
+    const bool may_open = this->total_limit(now) > 0 || this->has_unverified();
+    if (this->total_slots() == 0 || !may_open) {
         return this->refuse(now, refusal_reason::no_upstream, request.priority);
     }
     if (request.origin == request_origin::remote) {
--- a/src/admission/service_admission.h
+++ b/src/admission/service_admission.h
@@ -19,7 +19,7 @@
     void own(time_point now, const ownership::upstream_description& upstream);
     //! Gives an upstream up: it gets no new work, and its running requests end.
     void release(time_point now, const upstream_id& upstream);
-    void set_admitting(time_point now, const upstream_id& upstream, bool value);
+    void set_admittance(time_point now, const upstream_id& upstream, admittance value);
     void on_load_report(time_point now, const upstream_id& upstream, std::int64_t in_use);
     void restart_ramps(time_point now);
     void set_paused(bool value) { this->is_paused = value; }
@@ -53,6 +53,8 @@
         time_point started_at;
     };
 
+    //! Some upstream is about to be open, or to be found out as dead.
+    bool has_unverified() const;
     upstream_slots* choose_upstream(time_point now, const admission_request& request);
     admission_decision start(time_point now, const admission_request& request, upstream_slots& upstream);
     admission_decision offer_remote(time_point now, const admission_request& request);
--- a/src/admission/upstream_slots.cpp
+++ b/src/admission/upstream_slots.cpp
@@ -28,7 +28,7 @@
 
 std::int64_t upstream_slots::limit(time_point now) const
 {
-    if (!this->is_admitting) {
+    if (!this->admits()) {
         return 0;
     }
     auto usable = this->ramped(now);
@@ -42,12 +42,12 @@
     return std::max<std::int64_t>(usable, std::min<std::int64_t>(1, this->upstream.slots.value()));
 }
 
-void upstream_slots::set_admitting(time_point now, bool value)
+void upstream_slots::set_admittance(time_point now, admittance value)
 {
-    if (value && !this->is_admitting) {
+    if (value == admittance::open && !this->admits()) {
         this->ramp_start = now;
     }
-    this->is_admitting = value;
+    this->state = value;
 }
 
 void upstream_slots::on_start(time_point now)
--- a/src/admission/upstream_slots.h
+++ b/src/admission/upstream_slots.h
@@ -17,12 +17,13 @@
 
     //! Slots usable now: the upstream's own, less slow start, sheds and what others seem to use.
     std::int64_t limit(time_point now) const;
-    bool has_room(time_point now) const { return this->is_admitting && this->running < this->limit(now); }
+    bool has_room(time_point now) const { return this->admits() && this->running < this->limit(now); }
     //! Hash of the id, for rendezvous hashing.
     std::uint64_t id_hash() const { return this->hash_of_id; }
     std::int64_t in_flight() const { return this->running; }
-    bool admits() const { return this->is_admitting; }
-    void set_admitting(time_point now, bool value);
+    bool admits() const { return this->state == admittance::open; }
+    bool is_unverified() const { return this->state == admittance::unverified; }
+    void set_admittance(time_point now, admittance value);
     //! Starts the slow start again, for example after a pause of this process.
     void restart_ramp(time_point now) { this->ramp_start = now; }
 
@@ -38,7 +39,7 @@
     std::uint64_t hash_of_id;
     admission_configuration configuration;
     time_point ramp_start;
-    bool is_admitting = true;
+    admittance state = admittance::open;
     std::int64_t running = 0;
     recent_peak own_peak;
     std::int64_t foreign = 0; //!< slots that somebody else seems to use
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -6,6 +6,20 @@
 using membership::member_state;
 
 namespace {
+admission::admittance admittance_of(health::condition condition)
+{
+    switch (condition) {
+    case health::condition::healthy:
+        return admission::admittance::open;
+    case health::condition::unverified:
+        return admission::admittance::unverified;
+    case health::condition::ejected:
+    case health::condition::leaving:
+        break;
+    }
+    return admission::admittance::closed;
+}
+
 constexpr std::chrono::milliseconds handover_retry_interval{500};
 constexpr std::chrono::seconds handover_give_up{5};
 } // namespace
@@ -218,9 +232,10 @@
 
 void entry_node::apply_admission(time_point now, const ownership::upstream_description& upstream)
 {
-    const bool may_admit = !upstream.is_leaving && !this->state.gate.is_drained(upstream) &&
-                           this->state.health.condition_of(upstream.id) == health::condition::healthy;
-    this->state.admission.set_admitting(now, upstream.service, upstream.id, may_admit);
+    const bool is_closed = upstream.is_leaving || this->state.gate.is_drained(upstream);
+    const auto value = is_closed ? admission::admittance::closed
+                                 : admittance_of(this->state.health.condition_of(upstream.id));
+    this->state.admission.set_admittance(now, upstream.service, upstream.id, value);
 }
 
 void entry_node::apply_conditions(time_point now)
