--- a/src/daemon/daemon_module.cpp
+++ b/src/daemon/daemon_module.cpp
@@ -15,7 +15,8 @@
 #include "daemon/request_metrics.h"
 #include "global/bounded_ring.h"
 #include "global/log.h"
-#include "operations/operations_service.h"
+#include "global/random_source.h"
+#include "operations/operations_duty.h"
 #include "store/document_watcher.h"
 
 namespace buckthornhill::daemon {
@@ -23,16 +24,9 @@
 
 namespace {
 constexpr std::size_t store_ring_capacity = 64;
-constexpr std::size_t status_ring_capacity = 64;
 constexpr int exit_interrupted = 130;
 constexpr unsigned incarnation_random_bits = 12;
 
-random_hook make_random()
-{
-    auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
-    return [engine] { return (*engine)(); };
-}
-
 //! Start time in milliseconds above random bits: a later run of an instance has a higher number.
 incarnation_id make_incarnation()
 {
@@ -57,18 +51,14 @@
         , metrics(*this->registry, settings.self.region)
         , store_ring(store_ring_capacity,
                      [this] { asio::post(this->request_context, [this] { this->drain_store(); }); })
-        , query_ring(status_ring_capacity,
-                     [this] { asio::post(this->request_context, [this] { this->drain_queries(); }); })
-        , answer_ring(status_ring_capacity,
-                      [this] { asio::post(this->operations_context, [this] { this->drain_answers(); }); })
         , engine(this->request_context, this->configuration, this->metrics, make_random(),
                  [this] { asio::post(this->main_context, [this] { this->main_context.stop(); }); })
         , watcher(
               this->store_context, this->configuration.store, this->configuration.watcher,
               [this](store::store_event event) { return this->store_ring.push(std::move(event)); },
               make_random())
-        , operations_listener(this->operations_context, this->configuration.operations_listen, this->registry,
-                              [this](operations::status_query query) { return this->query_ring.push(query); })
+        , operators(this->configuration.operations_listen, this->registry, this->request_context,
+                    [this] { return this->engine.status(); })
         , signals(this->main_context, SIGTERM, SIGINT)
     {
     }
@@ -79,19 +69,6 @@
             [this](const store::store_event& event) { this->engine.on_store_event(event); });
     }
 
-    void drain_queries()
-    {
-        this->query_ring.drain([this](const operations::status_query& query) {
-            this->answer_ring.push(operations::status_answer{query.number, this->engine.status()});
-        });
-    }
-
-    void drain_answers()
-    {
-        this->answer_ring.drain(
-            [this](const operations::status_answer& answer) { this->operations_listener.on_answer(answer); });
-    }
-
     void await_signal()
     {
         this->signals.async_wait([this](const boost::system::error_code& failure, int) {
@@ -115,13 +92,10 @@
     asio::io_context main_context;
     asio::io_context request_context;
     asio::io_context store_context;
-    asio::io_context operations_context;
     bounded_ring<store::store_event> store_ring;
-    bounded_ring<operations::status_query> query_ring;
-    bounded_ring<operations::status_answer> answer_ring;
     request_engine engine;
     store::document_watcher watcher;
-    operations::operations_service operations_listener;
+    operations::operations_duty operators;
     asio::signal_set signals;
     bool is_leaving = false;
     int exit_code = 0;
@@ -143,7 +117,7 @@
                            {"domain", self.domain.str()},
                            {"peer_address", self.peer_address},
                            {"caller_address", self.caller_address},
-                           {"operations_address", this->state->operations_listener.local_endpoint().str()}});
+                           {"operations_address", this->state->operators.local_endpoint().str()}});
 }
 
 int daemon_module::run()
@@ -154,14 +128,13 @@
     parts.watcher.start();
     std::thread request_thread([&parts] { parts.request_context.run(); });
     std::thread store_thread([&parts] { parts.store_context.run(); });
-    std::thread operations_thread([&parts] { parts.operations_context.run(); });
+    parts.operators.start();
     parts.main_context.run();
     parts.request_context.stop();
     parts.store_context.stop();
-    parts.operations_context.stop();
     request_thread.join();
     store_thread.join();
-    operations_thread.join();
+    parts.operators.stop();
     log::info("daemon", "Stopped.");
     return parts.exit_code;
 }
--- a/src/daemon/request_engine.cpp
+++ b/src/daemon/request_engine.cpp
@@ -1,7 +1,6 @@
 #include "daemon/request_engine.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "daemon/protocol_headers.h"
 #include "daemon/request_metrics.h"
@@ -9,6 +8,8 @@
 #include "daemon/status_report.h"
 #include "global/error.h"
 #include "global/log.h"
+#include "global/periodic_timer.h"
+#include "http/http_responses.h"
 #include "lists/list_codec.h"
 #include "peers/heartbeat_codec.h"
 
@@ -26,23 +27,6 @@
     return std::chrono::steady_clock::now();
 }
 
-http::http_response plain_response(unsigned status, std::string text)
-{
-    http::http_response response;
-    response.status = status;
-    response.headers.emplace_back("Content-Type", "text/plain");
-    response.body = std::move(text) + "\n";
-    return response;
-}
-
-http::http_response json_response(std::string body)
-{
-    http::http_response response;
-    response.headers.emplace_back("Content-Type", "application/json");
-    response.body = std::move(body);
-    return response;
-}
-
 //! A resend may be malformed while its original ran, so only a request without a ticket is certain.
 void complete_rejection(http::http_response& response, const http::header_list* received)
 {
@@ -56,16 +40,6 @@
 }
 } // namespace
 
-struct engine_timer
-{
-    explicit engine_timer(boost::asio::io_context& context)
-        : timer(context)
-    {
-    }
-
-    boost::asio::steady_timer timer;
-};
-
 request_engine::request_engine(boost::asio::io_context& io, const daemon_configuration& settings,
                                request_metrics& counters, random_hook source, std::function<void()> stopped)
     : configuration(settings)
@@ -74,7 +48,7 @@
     , random(std::move(source))
     , on_stopped(std::move(stopped))
     , burn({settings.availability_objective, settings.latency_objective})
-    , timer(std::make_unique<engine_timer>(io))
+    , timer(std::make_unique<periodic_timer>(io, tick_interval, [this] { this->on_tick(); }))
     , client(std::make_unique<http::http_client>(
           io, http::client_limits{max_idle_connections, settings.caller_limits.max_body_bytes + (4U << 20),
                                   std::chrono::seconds(30)}))
@@ -97,7 +71,7 @@
 void request_engine::start()
 {
     this->ask_seed_peers();
-    this->schedule_tick();
+    this->timer->start();
 }
 
 void request_engine::ask_seed_peers()
@@ -112,26 +86,18 @@
     this->node->on_seed_peers(now(), seeds);
 }
 
-void request_engine::schedule_tick()
+void request_engine::on_tick()
 {
-    this->timer->timer.expires_after(tick_interval);
-    this->timer->timer.async_wait([this](const boost::system::error_code& failure) {
-        if (failure || this->is_stopped) {
-            return;
-        }
-        this->node->on_tick(now());
-        this->run_actions();
-        if (++this->ticks % ticks_between_gauges == 0) {
-            this->update_gauges();
-        }
-        if (this->node->is_stopped() && !this->is_stopped) {
-            this->is_stopped = true;
-            this->callers->stop_accepting();
-            this->on_stopped();
-            return;
-        }
-        this->schedule_tick();
-    });
+    this->node->on_tick(now());
+    this->run_actions();
+    if (++this->ticks % ticks_between_gauges == 0) {
+        this->update_gauges();
+    }
+    if (this->node->is_stopped()) {
+        this->timer->stop();
+        this->callers->stop_accepting();
+        this->on_stopped();
+    }
 }
 
 void request_engine::update_gauges()
@@ -161,7 +127,7 @@
         return;
     }
     if (path.size() < 2 || path.front() != '/') {
-        auto response = plain_response(400, "the path must start with a service's name: /<service>/...");
+        auto response = http::text_response(400, "the path must start with a service's name: /<service>/...");
         response.headers.emplace_back(std::string(headers::outcome), "not-executed");
         exchange->respond(std::move(response));
         return;
@@ -190,7 +156,7 @@
         facts = facts_of(request, flow, time,
                          {this->configuration.default_deadline, this->configuration.max_deadline});
     } catch (const buckthornhill::error& failure) {
-        auto response = plain_response(400, failure.what());
+        auto response = http::text_response(400, failure.what());
         response.headers.emplace_back(std::string(headers::outcome), "not-executed");
         exchange->respond(std::move(response));
         return;
@@ -225,7 +191,7 @@
 void request_engine::on_peer(const http::exchange_ptr& exchange)
 {
     if (!this->is_peer_key_right(exchange->request())) {
-        exchange->respond(plain_response(403, "the peer key is missing or wrong"));
+        exchange->respond(http::text_response(403, "the peer key is missing or wrong"));
         return;
     }
     const auto path = http::path_of(exchange->request().target);
@@ -244,23 +210,23 @@
             const auto answer = this->node->on_heartbeat(now(), peers::decode_heartbeat(body));
             auto encoded = peers::encode_heartbeat(answer);
             this->metrics.on_heartbeat_bytes(body.size() + encoded.size());
-            exchange->respond(json_response(std::move(encoded)));
+            exchange->respond(http::json_response(std::move(encoded)));
         } else if (path == paths::document) {
             const auto name =
                 lists::parse_document_name(http::query_value(exchange->request().target, "name"));
-            auto response = json_response(this->node->slices().lists.body_of(name));
+            auto response = http::json_response(this->node->slices().lists.body_of(name));
             response.headers.emplace_back(
                 "X-Version", std::to_string(this->node->slices().lists.version_of(name).value()));
             exchange->respond(std::move(response));
         } else if (path == paths::handover) {
             this->node->on_handover(peers::decode_handover(body));
-            exchange->respond(plain_response(200, "accepted"));
+            exchange->respond(http::text_response(200, "accepted"));
         } else {
-            exchange->respond(plain_response(404, "no such peer message"));
+            exchange->respond(http::text_response(404, "no such peer message"));
         }
     } catch (const buckthornhill::error& failure) {
         log::warning(log_part, std::string("A peer message was refused: ") + failure.what() + ".");
-        exchange->respond(plain_response(400, failure.what()));
+        exchange->respond(http::text_response(400, failure.what()));
     }
     this->run_actions();
 }
--- a/src/daemon/request_engine.h
+++ b/src/daemon/request_engine.h
@@ -17,9 +17,12 @@
 class io_context;
 }
 
+namespace buckthornhill {
+class periodic_timer;
+}
+
 namespace buckthornhill::daemon {
 class request_metrics;
-struct engine_timer;
 
 //! The request duty: listeners for callers and peers, calls to upstreams and peers, and the decisions
 //! between. Everything here runs on one thread, that of the context.
@@ -68,7 +71,7 @@
     void run(const node::probe_action& action);
     void run(const node::handover_action& action);
     void record_answer(const flow_io& flow, const node::answer_action& action);
-    void schedule_tick();
+    void on_tick();
     void update_gauges();
     void ask_seed_peers();
     http::http_request peer_message(std::string_view path, std::string body) const;
@@ -78,7 +81,7 @@
     random_hook random;
     std::function<void()> on_stopped;
     burn::burn_recorder burn;
-    std::unique_ptr<engine_timer> timer;
+    std::unique_ptr<periodic_timer> timer;
     std::unique_ptr<http::http_client> client;
     std::unique_ptr<http::http_server> callers;
     std::unique_ptr<http::http_server> peers;
@@ -86,6 +89,5 @@
     std::unordered_map<flow_id, flow_io> flows;
     flow_id last_flow;
     std::uint64_t ticks = 0;
-    bool is_stopped = false;
 };
 } // namespace buckthornhill::daemon
--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -4,14 +4,15 @@
 #include <ctime>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 #include "gateway/gateway_metrics.h"
 #include "global/error.h"
 #include "global/hash.h"
 #include "global/log.h"
+#include "global/periodic_timer.h"
 #include "http/hop_headers.h"
+#include "http/http_responses.h"
 
 namespace buckthornhill::gateway {
 namespace {
@@ -50,15 +51,6 @@
     return std::chrono::seconds(since_boot.tv_sec) + std::chrono::nanoseconds(since_boot.tv_nsec);
 }
 
-http::http_response plain_response(unsigned status, std::string text)
-{
-    http::http_response response;
-    response.status = status;
-    response.headers.emplace_back("Content-Type", "text/plain");
-    response.body = std::move(text) + "\n";
-    return response;
-}
-
 std::string host_of(const http::http_request& request)
 {
     const auto host = http::find_header(request.headers, "Host");
@@ -126,16 +118,6 @@
 }
 } // namespace
 
-struct gateway_timer
-{
-    explicit gateway_timer(boost::asio::io_context& context)
-        : timer(context)
-    {
-    }
-
-    boost::asio::steady_timer timer;
-};
-
 gateway_engine::gateway_engine(boost::asio::io_context& context, const gateway_settings& wanted,
                                const gateway_dialect& spelling, gateway_metrics& counters,
                                const random_hook& random, hooks reactions)
@@ -145,7 +127,7 @@
     , callbacks(std::move(reactions))
     , core(wanted.id, wanted.where, wanted.proxy, random)
     , view(spelling, this->core)
-    , timer(std::make_unique<gateway_timer>(context))
+    , timer(std::make_unique<periodic_timer>(context, tick_interval, [this] { this->on_tick(); }))
     , upstreams(std::make_unique<http::http_client>(context, upstream_limits(wanted)))
     , pauses(shortest_pause)
 {
@@ -173,19 +155,7 @@
 
 void gateway_engine::start()
 {
-    this->schedule_tick();
-}
-
-void gateway_engine::schedule_tick()
-{
-    this->timer->timer.expires_after(tick_interval);
-    this->timer->timer.async_wait([this](const boost::system::error_code& failure) {
-        if (failure || this->is_stopped) {
-            return;
-        }
-        this->on_tick();
-        this->schedule_tick();
-    });
+    this->timer->start();
 }
 
 void gateway_engine::on_tick()
@@ -287,24 +257,24 @@
 void gateway_engine::on_readiness(const http::exchange_ptr& exchange)
 {
     if (!this->dialect.is_readiness_check(exchange->request())) {
-        exchange->respond(plain_response(status_no_route, "no such call"));
+        exchange->respond(http::text_response(status_no_route, "no such call"));
         return;
     }
-    exchange->respond(this->is_serving() ? plain_response(200, "ready")
-                                         : plain_response(status_unavailable, "not ready"));
+    exchange->respond(this->is_serving() ? http::text_response(200, "ready")
+                                         : http::text_response(status_unavailable, "not ready"));
 }
 
 void gateway_engine::on_lookup(const http::exchange_ptr& exchange)
 {
     const auto query = this->dialect.read_lookup(exchange->request());
     if (!query) {
-        exchange->respond(plain_response(status_no_route, "no such call"));
+        exchange->respond(http::text_response(status_no_route, "no such call"));
         return;
     }
     this->metrics.on_lookup();
     const auto addresses = this->circle->addresses_for(query->region, query->domain);
     if (addresses.empty()) {
-        exchange->respond(plain_response(status_unavailable, "no instance is ready"));
+        exchange->respond(http::text_response(status_unavailable, "no instance is ready"));
         return;
     }
     exchange->respond(this->dialect.write_lookup(addresses, this->settings.lookup_ttl));
@@ -318,7 +288,7 @@
     try {
         terms = this->dialect.read_request(exchange->request());
     } catch (const buckthornhill::error& failure) {
-        exchange->respond(plain_response(status_malformed, failure.what()));
+        exchange->respond(http::text_response(status_malformed, failure.what()));
         return;
     }
     proxy::request_facts facts;
@@ -450,13 +420,13 @@
 
 void gateway_engine::run(const proxy::no_route_action& action)
 {
-    this->answer(action.flow, plain_response(status_no_route, "no route matches"), "no_route", {});
+    this->answer(action.flow, http::text_response(status_no_route, "no route matches"), "no_route", {});
 }
 
 void gateway_engine::run(const proxy::fail_action& action)
 {
     const auto status = action.is_timeout ? status_gateway_timeout : status_bad_gateway;
-    this->answer(action.flow, plain_response(status, "the upstream did not answer"),
+    this->answer(action.flow, http::text_response(status, "the upstream did not answer"),
                  action.is_timeout ? "timed_out" : "failed", "the request may have run");
 }
 
@@ -505,14 +475,14 @@
 
 void gateway_engine::advance_leave(time_point time)
 {
-    if (!this->is_leaving || this->is_stopped) {
+    if (!this->is_leaving) {
         return;
     }
     const auto since = time - this->leave_started;
     const auto end = share_of_grace(this->settings, usable_grace);
     const bool is_idle = this->flows.empty() && since >= this->settings.lookup_ttl * longest_cache;
     if (is_idle || since >= end) {
-        this->is_stopped = true;
+        this->timer->stop();
         this->callers->stop_accepting();
         this->callbacks.on_stopped();
     }
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -18,9 +18,12 @@
 class io_context;
 }
 
+namespace buckthornhill {
+class periodic_timer;
+}
+
 namespace buckthornhill::gateway {
 class gateway_metrics;
-struct gateway_timer;
 
 //! The request duty: listeners for callers, look-ups, readiness and peers, calls to upstreams, and the
 //! decisions between. Everything here runs on one thread, that of the context.
@@ -74,7 +77,6 @@
     void update_gauges();
     void share_limits();
     void notice_pause(time_point now);
-    void schedule_tick();
     void advance_leave(time_point now);
     bool is_serving() const;
 
@@ -96,7 +98,7 @@
     hooks callbacks;
     proxy::proxy_core core;
     fleet_view view;
-    std::unique_ptr<gateway_timer> timer;
+    std::unique_ptr<periodic_timer> timer;
     std::unique_ptr<http::http_client> upstreams;
     std::unique_ptr<peer_circle> circle;
     std::unique_ptr<http::http_server> callers;
@@ -108,6 +110,5 @@
     time_point next_gauges{};
     pause_detector pauses;
     bool is_leaving = false;
-    bool is_stopped = false;
 };
 } // namespace buckthornhill::gateway
--- a/src/gateway/peer_circle.cpp
+++ b/src/gateway/peer_circle.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/gateway_errors.h"
 #include "global/log.h"
+#include "http/http_responses.h"
 
 namespace buckthornhill::gateway {
 using membership::member_state;
@@ -55,13 +56,6 @@
     return limits;
 }
 
-http::http_response json_answer(std::string body)
-{
-    http::http_response response;
-    response.headers.emplace_back("Content-Type", "application/json");
-    response.body = std::move(body);
-    return response;
-}
 } // namespace
 
 peer_circle::peer_circle(boost::asio::io_context& context, const gateway_settings& wanted,
@@ -254,12 +248,13 @@
     try {
         if (http::path_of(request.target) == news_path) {
             this->on_news(clock_now(), decode_news(request.body));
-            exchange->respond(json_answer(encode_news(this->own_news())));
+            exchange->respond(http::json_response(encode_news(this->own_news())));
             return;
         }
         if (http::path_of(request.target) == collection_path) {
             const auto which = store::parse_collection(http::query_value(request.target, "name"));
-            exchange->respond(json_answer(encode_collection(this->view.mirror(which).snapshot(which))));
+            exchange->respond(
+                http::json_response(encode_collection(this->view.mirror(which).snapshot(which))));
             return;
         }
         refusal.status = 404;
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -5,8 +5,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "global/periodic_timer.h"
 #include "http/internal/client_connection.h"
 
 namespace buckthornhill::http {
@@ -22,7 +22,6 @@
     implementation(asio::io_context& io, const client_limits& bounds)
         : context(io)
         , limits(bounds)
-        , sweep_timer(io)
     {
     }
 
@@ -58,7 +57,7 @@
     void close()
     {
         this->is_closed = true;
-        this->sweep_timer.cancel();
+        this->sweep_timer->stop();
         for (auto& [server, idle] : this->idle_by_server) {
             for (auto& connection : idle) {
                 connection->close();
@@ -72,17 +71,16 @@
         }
     }
 
-    void schedule_sweep()
+    //! Apart from the constructor, since the timer must not keep this object alive.
+    void start_sweeping()
     {
-        this->sweep_timer.expires_after(sweep_interval);
-        this->sweep_timer.async_wait(
-            [self = this->shared_from_this()](const boost::system::error_code& failure) {
-                if (failure || self->is_closed) {
-                    return;
+        this->sweep_timer =
+            std::make_unique<periodic_timer>(this->context, sweep_interval, [weak = this->weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->sweep();
                 }
-                self->sweep();
-                self->schedule_sweep();
             });
+        this->sweep_timer->start();
     }
 
 private:
@@ -177,7 +175,7 @@
 
     asio::io_context& context;
     client_limits limits;
-    asio::steady_timer sweep_timer;
+    std::unique_ptr<periodic_timer> sweep_timer;
     connection_list busy;
     std::map<endpoint, std::vector<client_connection::pointer>> idle_by_server;
     std::unordered_map<call_id, client_connection::pointer> calls;
@@ -188,7 +186,7 @@
 http_client::http_client(asio::io_context& context, const client_limits& limits)
     : state(std::make_shared<implementation>(context, limits))
 {
-    this->state->schedule_sweep();
+    this->state->start_sweeping();
 }
 
 http_client::~http_client()
--- /dev/null
+++ b/src/http/internal/http_responses.cpp
@@ -0,0 +1,20 @@
+#include "http/http_responses.h"
+
+namespace buckthornhill::http {
+http_response text_response(unsigned status, std::string text)
+{
+    http_response response;
+    response.status = status;
+    response.headers.emplace_back("Content-Type", "text/plain");
+    response.body = std::move(text) + "\n";
+    return response;
+}
+
+http_response json_response(std::string body)
+{
+    http_response response;
+    response.headers.emplace_back("Content-Type", "application/json");
+    response.body = std::move(body);
+    return response;
+}
+} // namespace buckthornhill::http
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -1,8 +1,8 @@
 #include "http/http_server.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "global/periodic_timer.h"
 #include "http/http_errors.h"
 #include "http/internal/http_session.h"
 
@@ -17,10 +17,10 @@
 class http_server::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-    implementation(asio::io_context& context, const endpoint& bind_to, const server_limits& limits,
+    implementation(asio::io_context& io, const endpoint& bind_to, const server_limits& limits,
                    request_handler handler)
-        : acceptor(context)
-        , sweep_timer(context)
+        : context(io)
+        , acceptor(io)
         , shared(
               std::make_shared<session_context>(session_context{limits, std::move(handler), nullptr, false}))
     {
@@ -38,7 +38,7 @@
     void start()
     {
         this->accept();
-        this->schedule_sweep();
+        this->start_sweeping();
     }
 
     endpoint local_endpoint() const
@@ -62,7 +62,7 @@
     {
         this->stop_accepting();
         this->is_closed = true;
-        this->sweep_timer.cancel();
+        this->sweep_timer->stop();
         while (!this->sessions.empty()) {
             const boost::intrusive_ptr<http_session> session(&this->sessions.front());
             session->close();
@@ -98,17 +98,15 @@
         session->start();
     }
 
-    void schedule_sweep()
+    void start_sweeping()
     {
-        this->sweep_timer.expires_after(sweep_interval);
-        this->sweep_timer.async_wait(
-            [self = this->shared_from_this()](const boost::system::error_code& failure) {
-                if (failure || self->is_closed) {
-                    return;
+        this->sweep_timer =
+            std::make_unique<periodic_timer>(this->context, sweep_interval, [weak = this->weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->sweep();
                 }
-                self->sweep();
-                self->schedule_sweep();
             });
+        this->sweep_timer->start();
     }
 
     void sweep()
@@ -123,8 +121,9 @@
         }
     }
 
+    asio::io_context& context;
     tcp::acceptor acceptor;
-    asio::steady_timer sweep_timer;
+    std::unique_ptr<periodic_timer> sweep_timer;
     std::shared_ptr<session_context> shared;
     session_list sessions;
     bool is_closed = false;
--- a/src/operations/operations_service.cpp
+++ b/src/operations/operations_service.cpp
@@ -3,20 +3,13 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "http/http_responses.h"
 #include "http/http_server.h"
 
 namespace buckthornhill::operations {
 namespace {
 constexpr std::size_t max_waiting_queries = 64;
 
-http::http_response text_response(unsigned status, std::string type, std::string body)
-{
-    http::http_response response;
-    response.status = status;
-    response.headers.emplace_back("Content-Type", std::move(type));
-    response.body = std::move(body);
-    return response;
-}
 } // namespace
 
 operations_service::operations_service(boost::asio::io_context& context, const http::endpoint& listen,
@@ -41,17 +34,19 @@
 {
     const auto path = http::path_of(exchange->request().target);
     if (path == "/metrics") {
-        exchange->respond(text_response(200, "text/plain; version=0.0.4",
-                                        prometheus::TextSerializer().Serialize(this->registry->Collect())));
+        http::http_response metrics;
+        metrics.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+        metrics.body = prometheus::TextSerializer().Serialize(this->registry->Collect());
+        exchange->respond(std::move(metrics));
         return;
     }
     if (path != "/status") {
-        exchange->respond(text_response(404, "text/plain", "expected /status or /metrics\n"));
+        exchange->respond(http::text_response(404, "expected /status or /metrics"));
         return;
     }
     const status_query query{++this->last_query};
     if (this->waiting.size() >= max_waiting_queries || !this->ask(query)) {
-        exchange->respond(text_response(503, "text/plain", "too many questions at once\n"));
+        exchange->respond(http::text_response(503, "too many questions at once"));
         return;
     }
     this->waiting.emplace(query.number, exchange);
@@ -61,7 +56,7 @@
 {
     const auto node = this->waiting.extract(answer.number);
     if (!node.empty()) {
-        node.mapped()->respond(text_response(200, "application/json", answer.body));
+        node.mapped()->respond(http::json_response(answer.body));
     }
 }
 } // namespace buckthornhill::operations
