Split the gateway's engine; drop what nothing uses

Translation, the steps of a stop and the answer lines are parts of their own, the first two with tests; the stop's decision stood in the I/O. Dropped: a success flag that no decision read, a way to mark upstreams cold that only tests used, a whole watch kept for its timer. Behaviour stays.

--- a/src/fleet/upstream_roster.cpp
+++ b/src/fleet/upstream_roster.cpp
@@ -97,14 +97,6 @@
     }
 }
 
-void upstream_roster::on_cold(time_point now, const upstream_id& id, std::chrono::milliseconds left_time)
-{
-    const auto found = this->upstreams.find(id);
-    if (found != this->upstreams.end()) {
-        found->second.cold_until = std::max(found->second.cold_until, now + left_time);
-    }
-}
-
 void upstream_roster::on_tick(time_point now)
 {
     const auto dropped = std::erase_if(this->upstreams, [now](const auto& item) {
--- a/src/fleet/upstream_roster.h
+++ b/src/fleet/upstream_roster.h
@@ -38,7 +38,6 @@
     void set_evacuated(const std::set<domain_id>& domains);
     //! The address of `id` answered as another upstream: it gets nothing until it registers anew.
     void on_misdirected(const upstream_id& id);
-    void on_cold(time_point now, const upstream_id& id, std::chrono::milliseconds left);
     void on_tick(time_point now);
 
     //! Upstreams of `service` that may get requests now, ordered by id.
--- /dev/null
+++ b/src/gateway/answer_log.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+
+#include "gateway/gateway_flow.h"
+#include "proxy/proxy_core.h"
+
+namespace buckthornhill::gateway {
+//! How a request ended, for the log.
+struct answer_facts
+{
+    std::string outcome;
+    std::string reason;
+    unsigned status = 0; //!< 0 when the caller left before an answer
+    duration took{};
+    routing::configuration_version configuration; //!< in force then
+    object_version upstreams_at;                  //!< the store's version of the list that was used
+};
+
+//! One line for each request, with what decided its end.
+void log_answer(const gateway_flow& flow, const answer_facts& facts);
+//! One line for a send that brought no answer.
+void log_failed_send(const gateway_flow& flow, std::uint64_t send, const std::string& detail);
+} // namespace buckthornhill::gateway
--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -1,14 +1,13 @@
 #include "gateway/gateway_engine.h"
 
 #include <algorithm>
-#include <ctime>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
 #include "gateway/gateway_metrics.h"
+#include "gateway/gateway_translation.h"
 #include "global/error.h"
-#include "global/hash.h"
 #include "global/log.h"
 #include "global/periodic_timer.h"
 #include "http/hop_headers.h"
@@ -21,21 +20,12 @@
 constexpr std::chrono::seconds gauge_interval{1};
 //! Longer than a busy machine delays a tick, shorter than any caller's patience.
 constexpr std::chrono::milliseconds shortest_pause{500};
-constexpr std::size_t descriptors_for_files = 200;  //!< kept back by the platform
-constexpr std::size_t descriptors_for_others = 300; //!< peers, upstreams, the store, look-ups
 constexpr std::size_t max_lookup_connections = 512;
-constexpr std::chrono::milliseconds default_time_left{5000}; //!< when the caller does not say
 constexpr unsigned status_malformed = 400;
 constexpr unsigned status_no_route = 404;
 constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
-constexpr unsigned first_failure_status = 300;
-constexpr unsigned first_server_failure_status = 500;
-//! Of the grace after the signal to stop; then the process ends with what is still in progress.
-constexpr double usable_grace = 0.95;
-//! Of the grace; from then on new requests are refused, so that those in progress can end.
-constexpr double accepting_grace = 0.5;
 constexpr std::chrono::milliseconds retry_after_leave{50}; //!< another instance serves at once
 constexpr int longest_cache = 3;                           //!< times the time that a look-up answer allows
 
@@ -44,78 +34,6 @@
     return std::chrono::steady_clock::now();
 }
 
-std::chrono::nanoseconds time_since_boot()
-{
-    timespec since_boot{};
-    clock_gettime(CLOCK_BOOTTIME, &since_boot);
-    return std::chrono::seconds(since_boot.tv_sec) + std::chrono::nanoseconds(since_boot.tv_nsec);
-}
-
-std::string host_of(const http::http_request& request)
-{
-    const auto host = http::find_header(request.headers, "Host");
-    return std::string(host.substr(0, host.find(':')));
-}
-
-http::client_limits upstream_limits(const gateway_settings& settings)
-{
-    http::client_limits limits;
-    limits.idle_timeout = settings.upstream_idle;
-    limits.recent_idle = settings.proven_connection_age;
-    limits.connect_timeout = settings.upstream_connect_timeout;
-    limits.unacknowledged_timeout = settings.unacknowledged_timeout;
-    return limits;
-}
-
-http::server_limits caller_limits_of(const gateway_settings& settings, const routing::caller_limits& limits)
-{
-    http::server_limits bounds;
-    bounds.max_header_bytes = limits.max_header_bytes;
-    bounds.max_body_bytes = limits.max_body_bytes;
-    bounds.request_timeout = limits.header_timeout;
-    bounds.idle_timeout = limits.idle_timeout;
-    const auto reserved = descriptors_for_files + descriptors_for_others;
-    bounds.max_connections = settings.max_descriptors > 2 * reserved ? settings.max_descriptors - reserved
-                                                                     : settings.max_descriptors / 2;
-    return bounds;
-}
-
-duration share_of_grace(const gateway_settings& settings, double share)
-{
-    return std::chrono::duration_cast<duration>(settings.stop_grace * share);
-}
-
-proxy::send_outcome outcome_of(const http::call_result& result, const upstream_terms& terms)
-{
-    proxy::send_outcome outcome;
-    switch (result.status) {
-    case http::call_status::complete:
-        outcome.status = proxy::send_status::complete;
-        break;
-    case http::call_status::connect_failed:
-        outcome.status = proxy::send_status::connect_failed;
-        return outcome;
-    case http::call_status::timed_out:
-        outcome.status = proxy::send_status::timed_out;
-        return outcome;
-    case http::call_status::broken:
-    case http::call_status::cancelled:
-        return outcome;
-    }
-    //! NOTE A success without the upstream's signature is not its answer.
-    if (!terms.is_authentic) {
-        outcome.status = proxy::send_status::broken;
-        return outcome;
-    }
-    outcome.is_not_executed = terms.is_not_executed;
-    outcome.is_misdirected = terms.is_misdirected;
-    outcome.is_success = result.response.status < first_failure_status;
-    outcome.is_server_failure = result.response.status >= first_server_failure_status;
-    outcome.has_load = terms.has_load;
-    outcome.running = terms.running;
-    outcome.waiting = terms.waiting;
-    return outcome;
-}
 } // namespace
 
 gateway_engine::gateway_engine(boost::asio::io_context& context, const gateway_settings& wanted,
@@ -197,7 +115,7 @@
             changed.emplace_back(name);
         }
     };
-    take(this->settings.lookup_ttl, fresh.lookup_ttl, "lookup-ttl");
+    take(this->settings.lookup_ttl_bound, fresh.lookup_ttl_bound, "lookup-ttl-bound");
     take(this->settings.stop_grace, fresh.stop_grace, "stop-grace");
     take(this->settings.proxy.retry_ratio, fresh.proxy.retry_ratio, "retry-ratio");
     take(this->settings.proxy.retry_burst, fresh.proxy.retry_burst, "retry-burst");
@@ -220,7 +138,7 @@
 
 bool gateway_engine::is_serving() const
 {
-    return !this->is_leaving && this->circle->state() == membership::member_state::live;
+    return !this->leave.is_leaving() && this->circle->state() == membership::member_state::live;
 }
 
 void gateway_engine::on_store_event(const store::watcher_event& event)
@@ -247,7 +165,7 @@
         this->circle->on_registered(time, this->view.registered_instances());
         this->share_limits();
     }
-    if (this->view.is_complete() && !this->is_leaving) {
+    if (this->view.is_complete() && !this->leave.is_leaving()) {
         this->circle->become_live(time);
     }
     this->core.on_tick(time);
@@ -277,7 +195,7 @@
         exchange->respond(http::text_response(status_unavailable, "no instance is ready"));
         return;
     }
-    exchange->respond(this->dialect.write_lookup(addresses, this->settings.lookup_ttl));
+    exchange->respond(this->dialect.write_lookup(addresses, this->settings.usable_lookup_ttl()));
 }
 
 void gateway_engine::on_caller(const http::exchange_ptr& exchange)
@@ -291,15 +209,8 @@
         exchange->respond(http::text_response(status_malformed, failure.what()));
         return;
     }
-    proxy::request_facts facts;
-    facts.flow = flow;
-    facts.host = host_of(exchange->request());
-    facts.path = http::path_of(exchange->request().target);
-    facts.has_object = !terms.object.empty();
-    facts.object = placement::object_hash(facts.has_object ? hash_text(terms.object, hash_text(facts.host))
-                                                           : hash_text(terms.request_id));
-    facts.deadline = time + terms.time_left.value_or(default_time_left);
-    flow_io io;
+    const auto facts = facts_of(exchange->request(), terms, flow, time);
+    gateway_flow io;
     io.exchange = exchange;
     io.request_id = std::move(terms.request_id);
     io.object = std::move(terms.object);
@@ -308,7 +219,7 @@
         io.route = route->name;
     }
     this->flows.emplace(flow, std::move(io));
-    if (this->is_leaving && time - this->leave_started >= share_of_grace(this->settings, accepting_grace)) {
+    if (!this->leave.accepts_requests(time)) {
         this->answer(flow, this->dialect.write_refusal(retry_after_leave), "refused", "leaving");
         return;
     }
@@ -374,11 +285,7 @@
                            : upstream_terms{};
     const auto outcome = outcome_of(result, terms);
     if (is_current && outcome.status != proxy::send_status::complete) {
-        log::event(log_part, "send_failed",
-                   {{"request", found->second.request_id},
-                    {"send", send},
-                    {"upstream", found->second.upstream.str()},
-                    {"detail", result.detail}});
+        log_failed_send(found->second, send, result.detail);
     }
     if (is_current) {
         found->second.response = std::move(result.response);
@@ -392,7 +299,7 @@
     const auto found = this->flows.find(action.flow);
     if (found != this->flows.end() && found->second.send == action.send) {
         this->upstreams->cancel(found->second.call);
-        this->log_answer(found->second, "cancelled", "the caller left", 0);
+        log_answer(found->second, this->facts_of_end(found->second, "cancelled", "the caller left", 0));
         this->flows.erase(found);
     }
 }
@@ -439,49 +346,38 @@
     }
     const auto flow = std::move(found->second);
     this->flows.erase(found);
-    this->log_answer(flow, outcome, reason, response.status);
-    this->metrics.on_answer(flow.route, outcome, now() - flow.arrived_at);
+    const auto facts = this->facts_of_end(flow, outcome, reason, response.status);
+    log_answer(flow, facts);
+    this->metrics.on_answer(flow.route, outcome, facts.took);
     flow.exchange->respond(std::move(response));
 }
 
-void gateway_engine::log_answer(const flow_io& flow, const std::string& outcome, const std::string& reason,
-                                unsigned status) const
+answer_facts gateway_engine::facts_of_end(const gateway_flow& flow, const std::string& outcome,
+                                          const std::string& reason, unsigned status) const
 {
-    log::event(log_part, "answer",
-               {{"request", flow.request_id},
-                {"route", flow.route},
-                {"outcome", outcome},
-                {"reason", reason},
-                {"status", status},
-                {"object", flow.object},
-                {"sends", flow.send},
-                {"upstream", flow.upstream.str()},
-                {"took_ms", to_milliseconds(now() - flow.arrived_at)},
-                {"configuration", this->core.routes().version().value()},
-                {"upstreams_at", this->view.mirror(store::collection::upstreams).at().value()}});
+    return {outcome,
+            reason,
+            status,
+            now() - flow.arrived_at,
+            this->core.routes().version(),
+            this->view.mirror(store::collection::upstreams).at()};
 }
 
 void gateway_engine::begin_leave()
 {
-    if (this->is_leaving) {
+    if (this->leave.is_leaving()) {
         return;
     }
-    this->is_leaving = true;
-    this->leave_started = now();
+    const auto time = now();
+    this->leave.begin(time, {this->settings.usable_lookup_ttl() * longest_cache, this->settings.stop_grace});
     this->callers->announce_close();
-    this->circle->begin_leave(this->leave_started);
+    this->circle->begin_leave(time);
     log::event(log_part, "leaving", {{"in_progress", this->flows.size()}});
 }
 
 void gateway_engine::advance_leave(time_point time)
 {
-    if (!this->is_leaving) {
-        return;
-    }
-    const auto since = time - this->leave_started;
-    const auto end = share_of_grace(this->settings, usable_grace);
-    const bool is_idle = this->flows.empty() && since >= this->settings.lookup_ttl * longest_cache;
-    if (is_idle || since >= end) {
+    if (this->leave.is_over(time, !this->flows.empty())) {
         this->timer->stop();
         this->callers->stop_accepting();
         this->callbacks.on_stopped();
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -4,9 +4,12 @@
 #include <memory>
 #include <unordered_map>
 
+#include "gateway/answer_log.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_dialect.h"
+#include "gateway/gateway_flow.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/leave_sequence.h"
 #include "gateway/peer_circle.h"
 #include "global/pause_detector.h"
 #include "http/http_client.h"
@@ -55,19 +58,6 @@
     std::string status() const;
 
 private:
-    struct flow_io
-    {
-        http::exchange_ptr exchange;
-        std::string request_id;
-        std::string object;
-        std::string route;
-        time_point arrived_at;
-        upstream_id upstream;
-        std::uint64_t send = 0;
-        http::call_id call;
-        http::http_response response;
-    };
-
     void on_caller(const http::exchange_ptr& exchange);
     void on_lookup(const http::exchange_ptr& exchange);
     void on_readiness(const http::exchange_ptr& exchange);
@@ -87,10 +77,10 @@
     void run(const proxy::refuse_action& action);
     void run(const proxy::no_route_action& action);
     void run(const proxy::fail_action& action);
+    answer_facts facts_of_end(const gateway_flow& flow, const std::string& outcome, const std::string& reason,
+                              unsigned status) const;
     void answer(flow_id flow, http::http_response response, const std::string& outcome,
                 const std::string& reason);
-    void log_answer(const flow_io& flow, const std::string& outcome, const std::string& reason,
-                    unsigned status) const;
 
     gateway_settings settings;
     const gateway_dialect& dialect;
@@ -104,11 +94,10 @@
     std::unique_ptr<http::http_server> callers;
     std::unique_ptr<http::http_server> lookups;
     std::unique_ptr<http::http_server> readiness;
-    std::unordered_map<flow_id, flow_io> flows;
+    std::unordered_map<flow_id, gateway_flow> flows;
     flow_id last_flow;
-    time_point leave_started{};
     time_point next_gauges{};
     pause_detector pauses;
-    bool is_leaving = false;
+    leave_sequence leave;
 };
 } // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/gateway_flow.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "global/ids.h"
+#include "global/units.h"
+#include "http/http_client.h"
+#include "http/http_exchange.h"
+
+namespace buckthornhill::gateway {
+//! What the I/O keeps of one request between its arrival and its answer.
+struct gateway_flow
+{
+    http::exchange_ptr exchange;
+    std::string request_id;
+    std::string object;
+    std::string route;
+    time_point arrived_at;
+    upstream_id upstream; //!< of the latest send
+    std::uint64_t send = 0;
+    http::call_id call;
+    http::http_response response; //!< to the latest send
+};
+} // namespace buckthornhill::gateway
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <vector>
@@ -38,8 +39,12 @@
     //! How long callers may use a look-up answer. Some use it three times as long, and a stopping instance
     //! serves all that time.
     std::chrono::milliseconds lookup_ttl{1500};
-    std::chrono::milliseconds lookup_ttl_bound{5000}; //!< the platform counts no more
-    std::chrono::milliseconds stop_grace{6000};       //!< the process is killed so long after the signal
+    std::chrono::milliseconds lookup_ttl_bound{5000}; //!< callers count no more
+    std::chrono::milliseconds usable_lookup_ttl() const
+    {
+        return std::min(this->lookup_ttl, this->lookup_ttl_bound);
+    }
+    std::chrono::milliseconds stop_grace{6000}; //!< the process is killed so long after the signal
     std::chrono::milliseconds upstream_connect_timeout{300}; //!< several round trips between regions
     std::chrono::milliseconds unacknowledged_timeout{2000};
     //! An idle connection used within this time carries a request that may run once only.
--- /dev/null
+++ b/src/gateway/gateway_translation.cpp
@@ -0,0 +1,86 @@
+#include "gateway/gateway_translation.h"
+
+#include "global/hash.h"
+
+namespace buckthornhill::gateway {
+namespace {
+constexpr std::size_t descriptors_for_files = 200;           //!< kept back by the platform
+constexpr std::size_t descriptors_for_others = 300;          //!< peers, upstreams, the store, look-ups
+constexpr std::chrono::milliseconds default_time_left{5000}; //!< when the caller does not say
+constexpr unsigned first_server_failure_status = 500;
+
+std::string host_of(const http::http_request& request)
+{
+    const auto host = http::find_header(request.headers, "Host");
+    return std::string(host.substr(0, host.find(':')));
+}
+
+} // namespace
+
+proxy::request_facts facts_of(const http::http_request& request, const caller_terms& terms, flow_id flow,
+                              time_point now)
+{
+    proxy::request_facts facts;
+    facts.flow = flow;
+    facts.host = host_of(request);
+    facts.path = http::path_of(request.target);
+    facts.has_object = !terms.object.empty();
+    facts.object = placement::object_hash(facts.has_object ? hash_text(terms.object, hash_text(facts.host))
+                                                           : hash_text(terms.request_id));
+    facts.deadline = now + terms.time_left.value_or(default_time_left);
+    return facts;
+}
+
+proxy::send_outcome outcome_of(const http::call_result& result, const upstream_terms& terms)
+{
+    proxy::send_outcome outcome;
+    switch (result.status) {
+    case http::call_status::complete:
+        outcome.status = proxy::send_status::complete;
+        break;
+    case http::call_status::connect_failed:
+        outcome.status = proxy::send_status::connect_failed;
+        return outcome;
+    case http::call_status::timed_out:
+        outcome.status = proxy::send_status::timed_out;
+        return outcome;
+    case http::call_status::broken:
+    case http::call_status::cancelled:
+        return outcome;
+    }
+    //! NOTE A success without the upstream's signature is not its answer.
+    if (!terms.is_authentic) {
+        outcome.status = proxy::send_status::broken;
+        return outcome;
+    }
+    outcome.is_not_executed = terms.is_not_executed;
+    outcome.is_misdirected = terms.is_misdirected;
+    outcome.is_server_failure = result.response.status >= first_server_failure_status;
+    outcome.has_load = terms.has_load;
+    outcome.running = terms.running;
+    outcome.waiting = terms.waiting;
+    return outcome;
+}
+http::client_limits upstream_limits(const gateway_settings& settings)
+{
+    http::client_limits limits;
+    limits.idle_timeout = settings.upstream_idle;
+    limits.recent_idle = settings.proven_connection_age;
+    limits.connect_timeout = settings.upstream_connect_timeout;
+    limits.unacknowledged_timeout = settings.unacknowledged_timeout;
+    return limits;
+}
+
+http::server_limits caller_limits_of(const gateway_settings& settings, const routing::caller_limits& limits)
+{
+    http::server_limits bounds;
+    bounds.max_header_bytes = limits.max_header_bytes;
+    bounds.max_body_bytes = limits.max_body_bytes;
+    bounds.request_timeout = limits.header_timeout;
+    bounds.idle_timeout = limits.idle_timeout;
+    const auto reserved = descriptors_for_files + descriptors_for_others;
+    bounds.max_connections = settings.max_descriptors > 2 * reserved ? settings.max_descriptors - reserved
+                                                                     : settings.max_descriptors / 2;
+    return bounds;
+}
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/gateway_translation.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "gateway/gateway_dialect.h"
+#include "gateway/gateway_settings.h"
+#include "http/http_types.h"
+#include "proxy/proxy_types.h"
+
+//! Between HTTP messages and the facts that the decisions work on.
+namespace buckthornhill::gateway {
+//! Facts of a caller's request that arrived at `now`.
+proxy::request_facts facts_of(const http::http_request& request, const caller_terms& terms, flow_id flow,
+                              time_point now);
+//! What a call to an upstream tells the decisions. `terms` counts only when the call is complete.
+proxy::send_outcome outcome_of(const http::call_result& result, const upstream_terms& terms);
+http::client_limits upstream_limits(const gateway_settings& settings);
+http::server_limits caller_limits_of(const gateway_settings& settings, const routing::caller_limits& limits);
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/leave_sequence.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "global/units.h"
+
+namespace buckthornhill::gateway {
+struct leave_configuration
+{
+    duration linger{}; //!< callers may use a look-up answer that names this instance for so long
+    duration grace{};  //!< the process is killed so long after the signal to stop
+};
+
+//! The steps of a planned stop: new requests are served for a while, then refused so that those in progress
+//! can end, and the process ends when nothing is left or the grace is nearly over.
+class leave_sequence
+{
+public:
+    void begin(time_point now, const leave_configuration& configuration)
+    {
+        if (!this->has_begun) {
+            this->has_begun = true;
+            this->started_at = now;
+            this->terms = configuration;
+        }
+    }
+
+    bool is_leaving() const { return this->has_begun; }
+    bool accepts_requests(time_point now) const
+    {
+        return !this->has_begun || now - this->started_at < this->share_of_grace(accepting_share);
+    }
+    bool is_over(time_point now, bool has_requests) const
+    {
+        const auto since = now - this->started_at;
+        const bool is_idle = !has_requests && since >= this->terms.linger;
+        return this->has_begun && (is_idle || since >= this->share_of_grace(usable_share));
+    }
+
+private:
+    //! What is taken later might not end in time.
+    static constexpr double accepting_share = 0.5;
+    //! The rest is for ending the threads.
+    static constexpr double usable_share = 0.95;
+
+    duration share_of_grace(double share) const
+    {
+        return std::chrono::duration_cast<duration>(this->terms.grace * share);
+    }
+
+    leave_configuration terms;
+    time_point started_at{};
+    bool has_begun = false;
+};
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/tests/gateway_translation_tests.cpp
@@ -0,0 +1,73 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway_translation.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+const time_point now{std::chrono::seconds(50)};
+
+http::call_result complete(unsigned status)
+{
+    http::call_result result;
+    result.status = http::call_status::complete;
+    result.response.status = status;
+    return result;
+}
+} // namespace
+
+TEST_CASE(
+    "[GIVEN] a caller's request [WHEN] it is translated [THEN] host, path, object and deadline are facts",
+    "[gateway]")
+{
+    http::http_request request;
+    request.target = "/a/b?c=d";
+    request.headers = {{"host", "h.example:8080"}};
+    caller_terms terms{"id-1", "object-7", milliseconds(800)};
+
+    const auto facts = facts_of(request, terms, flow_id(3), now);
+
+    CHECK(facts.host == "h.example");
+    CHECK(facts.path == "/a/b");
+    CHECK(facts.has_object);
+    CHECK(facts.deadline == now + milliseconds(800));
+
+    terms.request_id = "id-2";
+    CHECK(facts_of(request, terms, flow_id(4), now).object == facts.object);
+    terms.object.clear();
+    terms.time_left.reset();
+    const auto unnamed = facts_of(request, terms, flow_id(5), now);
+    CHECK_FALSE(unnamed.has_object);
+    CHECK(unnamed.deadline > now);
+}
+
+TEST_CASE(
+    "[GIVEN] results of calls [WHEN] they are translated [THEN] nothing that may have run is called not run",
+    "[gateway][honest answers]")
+{
+    using proxy::send_status;
+    http::call_result result;
+    result.status = http::call_status::connect_failed;
+    CHECK(outcome_of(result, {}).status == send_status::connect_failed);
+    result.status = http::call_status::timed_out;
+    CHECK(outcome_of(result, {}).status == send_status::timed_out);
+    result.status = http::call_status::cancelled;
+    CHECK(outcome_of(result, {}).status == send_status::broken);
+
+    upstream_terms refused;
+    refused.is_not_executed = true;
+    CHECK(outcome_of(complete(503), refused).is_not_executed);
+    CHECK_FALSE(outcome_of(complete(503), {}).is_not_executed);
+    CHECK(outcome_of(complete(500), {}).is_server_failure);
+    CHECK_FALSE(outcome_of(complete(404), {}).is_server_failure);
+}
+
+TEST_CASE("[GIVEN] a success without the upstream's signature [WHEN] it is translated [THEN] it is no answer",
+          "[gateway]")
+{
+    upstream_terms unsigned_answer;
+    unsigned_answer.is_authentic = false;
+    CHECK(outcome_of(complete(200), unsigned_answer).status == proxy::send_status::broken);
+}
--- /dev/null
+++ b/src/gateway/tests/leave_sequence_tests.cpp
@@ -0,0 +1,59 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/leave_sequence.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+const time_point start{std::chrono::seconds(50)};
+const leave_configuration terms{milliseconds(2000), milliseconds(6000)};
+} // namespace
+
+TEST_CASE("[GIVEN] an instance that serves [WHEN] nobody stops it [THEN] it takes requests and never ends",
+          "[gateway]")
+{
+    const leave_sequence leave;
+    CHECK_FALSE(leave.is_leaving());
+    CHECK(leave.accepts_requests(start + std::chrono::hours(1)));
+    CHECK_FALSE(leave.is_over(start + std::chrono::hours(1), false));
+}
+
+TEST_CASE(
+    "[GIVEN] a stop [WHEN] callers still come by old look-up answers [THEN] they are served half the grace",
+    "[gateway][pattern: machines are stopped in turn under load]")
+{
+    leave_sequence leave;
+    leave.begin(start, terms);
+    CHECK(leave.is_leaving());
+    CHECK(leave.accepts_requests(start + milliseconds(2999)));
+    CHECK_FALSE(leave.accepts_requests(start + milliseconds(3000)));
+}
+
+TEST_CASE("[GIVEN] a stop [WHEN] nothing is in progress [THEN] it ends once old look-up answers are used up",
+          "[gateway]")
+{
+    leave_sequence leave;
+    leave.begin(start, terms);
+    CHECK_FALSE(leave.is_over(start + milliseconds(1999), false));
+    CHECK(leave.is_over(start + milliseconds(2000), false));
+}
+
+TEST_CASE("[GIVEN] a stop [WHEN] a request goes on [THEN] it is waited for until the grace is nearly over",
+          "[gateway][pattern: each machine is stopped while it answers a request]")
+{
+    leave_sequence leave;
+    leave.begin(start, terms);
+    CHECK_FALSE(leave.is_over(start + milliseconds(5600), true));
+    CHECK(leave.is_over(start + milliseconds(5700), true));
+}
+
+TEST_CASE("[GIVEN] a stop that has begun [WHEN] a second signal comes [THEN] the first one counts",
+          "[gateway]")
+{
+    leave_sequence leave;
+    leave.begin(start, terms);
+    leave.begin(start + milliseconds(2500), terms);
+    CHECK_FALSE(leave.accepts_requests(start + milliseconds(3000)));
+}
--- a/src/global/pause_detector.h
+++ b/src/global/pause_detector.h
@@ -6,6 +6,9 @@
 #include "global/units.h"
 
 namespace buckthornhill {
+//! Time since the machine started, suspension included.
+std::chrono::nanoseconds time_since_boot();
+
 //! Notices that the process stood still. The steady clock does not count the time for which a machine was
 //! suspended, so it is compared with one that does.
 class pause_detector
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -301,7 +301,9 @@
     auto request = request_for(1);
     request.cold_rate = 1;
     const auto home = picker.pick(time_point{}, roster, request).upstream;
-    roster.on_cold(time_point{}, home, milliseconds(3000));
+    auto cold = roster.find_usable(home)->entry;
+    cold.cold_left = milliseconds(3000);
+    roster.upsert(time_point{}, cold);
     REQUIRE(picker.pick(time_point{}, roster, request).upstream == home);
     picker.on_sent(time_point{}, roster, request, home);
     CHECK(picker.pick(time_point{}, roster, request).upstream != home);
--- a/src/proxy/proxy_types.h
+++ b/src/proxy/proxy_types.h
@@ -103,7 +103,6 @@
     send_status status = send_status::broken;
     bool is_not_executed = false;   //!< the upstream said that it did not run the request
     bool is_misdirected = false;    //!< the address belongs to another upstream now
-    bool is_success = false;        //!< a 2xx answer
     bool is_server_failure = false; //!< a 5xx answer
     bool has_load = false;
     std::int64_t running = 0; //!< requests that the upstream runs, of all instances
--- a/src/proxy/tests/proxy_core_tests.cpp
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -96,7 +96,6 @@
 {
     send_outcome outcome;
     outcome.status = send_status::complete;
-    outcome.is_success = true;
     return outcome;
 }
 
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -74,7 +74,7 @@
     , sink(std::move(events))
     , random(std::move(source))
     , client(std::make_unique<http::http_client>(io, limits_of(settings)))
-    , publication(std::make_unique<watch>(io))
+    , publish_again(std::make_unique<boost::asio::steady_timer>(io))
 {
     for (const auto which : all_collections) {
         this->watches.emplace(which, std::make_unique<watch>(io));
@@ -276,31 +276,32 @@
 void collection_watcher::publish(bool exists)
 {
     auto request = this->dialect.put(collection::instances, this->instance_name, this->instance_body, exists);
-    this->client->send(
-        this->server, std::move(request), now() + this->configuration.call_timeout,
-        http::connection_choice::reuse, [this, exists](const http::call_result& result) {
-            const bool is_answer = result.status == http::call_status::complete;
-            if (is_answer && result.response.status < first_failure_status) {
-                log::info(log_part, "This instance is registered as " + this->instance_name + ".");
-                return;
-            }
-            //! NOTE The object of an earlier run, or of a create whose answer was lost, is replaced.
-            if (is_answer && result.response.status == status_conflict && !exists) {
-                this->publish(true);
-                return;
-            }
-            this->publication->timer.expires_after(this->configuration.max_backoff);
-            this->publication->timer.async_wait([this](const boost::system::error_code& failure) {
-                if (!failure) {
-                    this->publish(false);
-                }
-            });
-        });
+    this->client->send(this->server, std::move(request), now() + this->configuration.call_timeout,
+                       http::connection_choice::reuse, [this, exists](const http::call_result& result) {
+                           const bool is_answer = result.status == http::call_status::complete;
+                           if (is_answer && result.response.status < first_failure_status) {
+                               log::info(log_part,
+                                         "This instance is registered as " + this->instance_name + ".");
+                               return;
+                           }
+                           //! NOTE The object of an earlier run, or of a create whose answer was lost, is
+                           //! replaced.
+                           if (is_answer && result.response.status == status_conflict && !exists) {
+                               this->publish(true);
+                               return;
+                           }
+                           this->publish_again->expires_after(this->configuration.max_backoff);
+                           this->publish_again->async_wait([this](const boost::system::error_code& failure) {
+                               if (!failure) {
+                                   this->publish(false);
+                               }
+                           });
+                       });
 }
 
 void collection_watcher::withdraw_instance(const std::string& name)
 {
-    this->publication->timer.cancel();
+    this->publish_again->cancel();
     this->client->send(this->server, this->dialect.remove(collection::instances, name),
                        now() + this->configuration.call_timeout, http::connection_choice::reuse,
                        [](const http::call_result& result) {
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <variant>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "global/units.h"
 #include "http/http_types.h"
 #include "store/collection_types.h"
@@ -90,7 +92,7 @@
     random_hook random;
     std::unique_ptr<http::http_client> client;
     std::map<collection, std::unique_ptr<watch>> watches;
-    std::unique_ptr<watch> publication;
+    std::unique_ptr<boost::asio::steady_timer> publish_again;
     std::string instance_name;
     std::string instance_body;
 };
