Ask the store to answer at once after a loss of contact

Cause: after the connections of all instances were reset at 4.0 s, the new waiting call is answered only by the next change, at 10.53 s in the log of all nine. Contact counted as back from then, so a removal at 10.80 s passed for a registration that lapsed in an outage, and the upstream got requests for 1.9 s more: 2.0 to 2.2 s after the store's acknowledgement. Ruled out: a silent channel (the logs say reset), peers' news (no lag was noted), keep-alive probes (a trial with them still broke it). Change: out of contact a watch asks for an answer at once, so the return is known when it happens. The test failed first.

--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -18,6 +18,7 @@
 constexpr unsigned first_failure_status = 300;
 constexpr std::size_t max_body_bytes = 8UL * 1024 * 1024;
 constexpr std::chrono::seconds unacknowledged_timeout{2};
+constexpr std::chrono::milliseconds at_once{1}; //!< the shortest wait that a call can ask for
 
 time_point now()
 {
@@ -94,10 +95,12 @@
 {
     auto& state = *this->watches.at(which);
     if (state.is_listed) {
-        const auto deadline = now() + this->configuration.wait + this->configuration.call_timeout;
+        //! NOTE Out of contact the store is asked to answer at once: only an answer shows that it is back,
+        //! and from its return on it is known what may only have lapsed.
+        const auto wait = state.is_in_contact ? this->configuration.wait : at_once;
         state.call = this->client->send(
-            this->server, this->dialect.watch(which, state.at, this->configuration.wait), deadline,
-            http::connection_choice::reuse,
+            this->server, this->dialect.watch(which, state.at, wait),
+            now() + wait + this->configuration.call_timeout, http::connection_choice::reuse,
             [this, which](const http::call_result& result) { this->on_watch_result(which, result); });
         return;
     }
--- a/src/store/tests/collection_watcher_tests.cpp
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -51,9 +51,12 @@
         request.target = "/" + std::string(to_string(which)) + "?after=" + after;
         return request;
     };
-    dialect.watch = [](collection which, object_version since, milliseconds) {
+    dialect.watch = [](collection which, object_version since, milliseconds wait) {
         http::http_request request;
         request.target = "/" + std::string(to_string(which)) + "?since=" + std::to_string(since.value());
+        if (wait < milliseconds(10)) {
+            request.target += "&answer=at-once";
+        }
         return request;
     };
     dialect.put = [](collection, const std::string& name, const std::string&, bool exists) {
@@ -205,6 +208,19 @@
     }
 }
 
+TEST_CASE("[GIVEN] a waiting call that was reset [WHEN] it is made again [THEN] the store answers at once",
+          "[store][pattern: connections of all instances are reset]")
+{
+    //! What is removed long after such a reset has not just lapsed, so the return must not be noticed only
+    //! with the next change.
+    scripted_store store({{200, "a@5"}, {503, ""}, {200, "@5"}, {200, "b@6"}});
+    store.play();
+    REQUIRE(store.calls.size() == 5);
+    CHECK(store.calls[1] == "GET /upstreams?since=5");
+    CHECK(store.calls[2] == "GET /upstreams?since=5&answer=at-once");
+    CHECK(store.calls[3] == "GET /upstreams?since=5");
+}
+
 TEST_CASE("[GIVEN] a ring that is full [WHEN] an update cannot be taken [THEN] the list is read again",
           "[store]")
 {
