Let one instance of a failure domain watch the store for the others

The relay's log then showed a second and a third cause: an instance seemed behind whenever the same change had reached it in another answer (the answers' versions were compared), or another had read the list of instances more lately; both made it fetch whole collections from peers in other zones. Change: where a failure domain has four instances or more, one watches the store and confirms its contact every second; the others wait for changes there and turn to the store as soon as it is late (1.1 s) or out of touch (1.35 s). The change's own version is compared; instances are not; a peer gets only what it lacks. Ruled out: longer waits and pauses (bounded by the 2 s for a drain), a poll, a watch by few with nothing to fall back on.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -104,6 +104,7 @@
                               : entry->is_leaving ? "leaving"
                                                   : "ready"},
                     {"cold_left_ms", entry ? entry->cold_left.count() : 0},
+                    {"object_version", change.object.version.value()},
                     {"store_version", update.at.value()}});
     }
 }
@@ -127,13 +128,24 @@
 {
     std::map<collection, object_version> versions;
     for (const auto& [which, mirror] : this->mirrors) {
-        if (mirror.is_known()) {
+        if (mirror.is_known() && which != collection::instances) {
             versions[which] = mirror.changed_at();
         }
     }
     return versions;
 }
 
+std::map<collection, object_version> fleet_view::known_at() const
+{
+    std::map<collection, object_version> versions;
+    for (const auto& [which, mirror] : this->mirrors) {
+        if (mirror.is_known()) {
+            versions[which] = mirror.at();
+        }
+    }
+    return versions;
+}
+
 std::vector<membership::member_description> fleet_view::registered_instances() const
 {
     std::vector<membership::member_description> members;
--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -53,8 +53,16 @@
     peer_hooks.on_collection = [this](const store::collection_update& update) {
         this->on_collection(update);
     };
-    peer_hooks.on_behind = [this](store::collection which) { this->callbacks.on_behind(which); };
-    peer_hooks.on_members_changed = [this] { this->share_limits(); };
+    peer_hooks.on_behind = [this](store::collection which) { this->on_behind(which); };
+    peer_hooks.on_members_changed = [this] { this->on_members_changed(); };
+    peer_hooks.on_other_call = [this](const http::exchange_ptr& exchange) {
+        if (!store_relay::is_call(exchange->request().target)) {
+            return false;
+        }
+        this->relay->on_follower(now(), exchange);
+        return true;
+    };
+    this->relay = this->make_relay(context);
     this->circle = std::make_unique<peer_circle>(context, wanted, this->view, random, std::move(peer_hooks));
     this->callers = std::make_unique<http::http_server>(
         context, wanted.callers, caller_limits_of(wanted, {}),
@@ -71,6 +79,24 @@
 
 gateway_engine::~gateway_engine() = default;
 
+std::unique_ptr<store_relay> gateway_engine::make_relay(boost::asio::io_context& context)
+{
+    store_relay::hooks hooks;
+    hooks.on_collection = [this](const store::collection_update& update) { this->on_collection(update); };
+    hooks.on_source_changed = [this](bool watches_store) {
+        std::optional<std::map<store::collection, object_version>> known;
+        if (watches_store) {
+            known = this->view.known_at();
+        }
+        this->callbacks.on_store_watch(known);
+    };
+    hooks.on_followed_changed = [this](bool is_followed) {
+        this->callbacks.on_followed_changed(is_followed);
+    };
+    hooks.peer_address_of = [this](const instance_id& id) { return this->circle->peer_address_of(id); };
+    return std::make_unique<store_relay>(context, this->settings, this->view, std::move(hooks));
+}
+
 void gateway_engine::start()
 {
     this->timer->start();
@@ -83,6 +109,7 @@
     this->core.on_tick(time);
     this->run_actions();
     this->circle->on_tick(time);
+    this->relay->on_tick(time);
     this->advance_leave(time);
     if (time >= this->next_gauges) {
         this->next_gauges = time + gauge_interval;
@@ -101,6 +128,7 @@
                {{"ms", to_milliseconds(paused)}, {"waiting", this->core.waiting_count()}});
     this->core.on_pause(time);
     this->circle->on_pause(time);
+    this->relay->on_doubt(time);
     for (const auto which : store::all_collections) {
         this->callbacks.on_behind(which);
     }
@@ -136,6 +164,21 @@
     this->core.set_instances(now(), this->circle->live_count(), this->circle->known_instances());
 }
 
+void gateway_engine::on_members_changed()
+{
+    this->share_limits();
+    this->relay->set_members(this->circle->live_in_domain());
+}
+
+void gateway_engine::on_behind(store::collection which)
+{
+    if (this->relay->watches_store()) {
+        this->callbacks.on_behind(which);
+    } else {
+        this->relay->on_doubt(now());
+    }
+}
+
 bool gateway_engine::is_serving() const
 {
     return !this->leave.is_leaving() && this->circle->state() == membership::member_state::live;
@@ -145,11 +188,17 @@
 {
     if (const auto* contact = std::get_if<store::contact_change>(&event)) {
         this->circle->on_store_contact(contact->which, contact->is_in_contact);
+        if (!contact->is_in_contact) {
+            this->relay->on_store_lost(contact->which);
+            this->relay->on_view_changed(now());
+        }
         log::event("view", contact->is_in_contact ? "store_in_contact" : "store_lost",
                    {{"collection", store::to_string(contact->which)}, {"detail", contact->detail}});
         return;
     }
-    this->on_collection(std::get<store::collection_update>(event));
+    const auto& update = std::get<store::collection_update>(event);
+    this->relay->on_store_answer(now(), update.which);
+    this->on_collection(update);
 }
 
 void gateway_engine::on_collection(const store::collection_update& update)
@@ -165,6 +214,7 @@
         this->circle->on_registered(time, this->view.registered_instances());
         this->share_limits();
     }
+    this->relay->on_view_changed(time);
     if (this->view.is_complete() && !this->leave.is_leaving()) {
         this->circle->become_live(time);
     }
@@ -372,6 +422,7 @@
     this->leave.begin(time, {this->settings.usable_lookup_ttl() * longest_cache, this->settings.stop_grace});
     this->callers->announce_close();
     this->circle->begin_leave(time);
+    this->relay->begin_leave(time);
     log::event(log_part, "leaving", {{"in_progress", this->flows.size()}});
 }
 
@@ -389,6 +440,7 @@
     boost::json::object report{{"instance", this->self().id.str()},
                                {"serving", this->is_serving()},
                                {"live_instances", this->circle->live_count()},
+                               {"watches_store", this->relay->watches_store()},
                                {"configuration", this->core.routes().version().value()},
                                {"upstreams", this->core.upstreams().size()},
                                {"requests_in_progress", this->flows.size()},
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/leave_sequence.h"
 #include "gateway/peer_circle.h"
+#include "gateway/store_relay.h"
 #include "global/pause_detector.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -37,6 +38,10 @@
     {
         //! The store's view of this collection is behind a peer's.
         std::function<void(store::collection)> on_behind;
+        //! The store is to be watched from now on, going on from these versions; or need not be, when empty.
+        std::function<void(const std::optional<std::map<store::collection, object_version>>&)> on_store_watch;
+        //! Others depend on this instance's contact with the store, or no longer do.
+        std::function<void(bool)> on_followed_changed;
         std::function<void()> on_stopped;
     };
 
@@ -66,6 +71,9 @@
     void on_tick();
     void update_gauges();
     void share_limits();
+    void on_members_changed();
+    void on_behind(store::collection which);
+    std::unique_ptr<store_relay> make_relay(boost::asio::io_context& context);
     void notice_pause(time_point now);
     void advance_leave(time_point now);
     bool is_serving() const;
@@ -91,6 +99,7 @@
     std::unique_ptr<periodic_timer> timer;
     std::unique_ptr<http::http_client> upstreams;
     std::unique_ptr<peer_circle> circle;
+    std::unique_ptr<store_relay> relay;
     std::unique_ptr<http::http_server> callers;
     std::unique_ptr<http::http_server> lookups;
     std::unique_ptr<http::http_server> readiness;
--- a/src/gateway/gateway_module.cpp
+++ b/src/gateway/gateway_module.cpp
@@ -57,6 +57,20 @@
         hooks.on_behind = [this](store::collection which) {
             asio::post(this->store_context, [this, which] { this->watcher.refresh(which); });
         };
+        hooks.on_store_watch =
+            [this](const std::optional<std::map<store::collection, object_version>>& known) {
+                asio::post(this->store_context, [this, known] {
+                    if (known) {
+                        this->watcher.resume(*known);
+                    } else {
+                        this->watcher.suspend();
+                    }
+                });
+            };
+        hooks.on_followed_changed = [this](bool is_followed) {
+            asio::post(this->store_context,
+                       [this, is_followed] { this->watcher.set_confirming(is_followed); });
+        };
         hooks.on_stopped = [this] { this->main_context.stop(); };
         return hooks;
     }
--- a/src/gateway/news_codec.cpp
+++ b/src/gateway/news_codec.cpp
@@ -1,5 +1,7 @@
 #include "gateway/news_codec.h"
 
+#include <charconv>
+
 #include <boost/json.hpp>
 
 #include "gateway/gateway_errors.h"
@@ -65,6 +67,44 @@
     return record;
 }
 
+//! An object is [name, version, text], and without a text when it was removed.
+json::object to_json(const store::collection_update& update)
+{
+    json::array objects;
+    for (const auto& change : update.changes) {
+        json::array fields{change.object.name, change.object.version.value()};
+        if (!change.is_removed) {
+            fields.emplace_back(change.object.text);
+        }
+        objects.push_back(std::move(fields));
+    }
+    return {{"collection", store::to_string(update.which)},
+            {"at", update.at.value()},
+            {"whole", update.is_whole},
+            {"after_outage", update.after_outage},
+            {"objects", std::move(objects)}};
+}
+
+store::collection_update update_from(const json::object& whole)
+{
+    constexpr std::size_t fields_of_removal = 2;
+    store::collection_update update;
+    update.which = store::parse_collection(std::string(whole.at("collection").as_string()));
+    update.is_whole = whole.at("whole").as_bool();
+    update.after_outage = whole.at("after_outage").as_bool();
+    update.at = object_version(whole.at("at").to_number<std::uint64_t>());
+    for (const auto& value : whole.at("objects").as_array()) {
+        const auto& fields = value.as_array();
+        store::object_change change;
+        change.is_removed = fields.size() == fields_of_removal;
+        change.object.name = text_at(fields, 0);
+        change.object.version = object_version(fields.at(1).to_number<std::uint64_t>());
+        change.object.text = change.is_removed ? std::string() : text_at(fields, 2);
+        update.changes.push_back(std::move(change));
+    }
+    return update;
+}
+
 //! Runs `decode`, and turns what the JSON library throws into this layer's error.
 template <typename Decode>
 auto decoded(const std::string& what, Decode decode)
@@ -109,30 +149,43 @@
 
 std::string encode_collection(const store::collection_update& update)
 {
-    json::array objects;
-    for (const auto& change : update.changes) {
-        objects.push_back(json::array{change.object.name, change.object.version.value(), change.object.text});
-    }
-    return json::serialize(json::object{{"collection", store::to_string(update.which)},
-                                        {"at", update.at.value()},
-                                        {"objects", std::move(objects)}});
+    return json::serialize(to_json(update));
 }
 
 store::collection_update decode_collection(const std::string& text)
 {
-    return decoded("a peer's collection", [&text] {
+    return decoded("a peer's collection", [&text] { return update_from(json::parse(text).as_object()); });
+}
+
+object_version parse_version(const std::string& text)
+{
+    std::uint64_t version = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (status != std::errc{} || end != text.data() + text.size()) {
+        throw gateway_error("'" + text + "' is not a version");
+    }
+    return object_version(version);
+}
+
+std::string encode_relay_answer(const relay_answer& answer)
+{
+    json::array updates;
+    for (const auto& update : answer.updates) {
+        updates.push_back(to_json(update));
+    }
+    return json::serialize(json::object{{"is_source", answer.is_source}, {"updates", std::move(updates)}});
+}
+
+relay_answer decode_relay_answer(const std::string& text)
+{
+    return decoded("a relay's answer", [&text] {
         const auto whole = json::parse(text).as_object();
-        store::collection_update update;
-        update.which = store::parse_collection(std::string(whole.at("collection").as_string()));
-        update.is_whole = true;
-        update.at = object_version(whole.at("at").to_number<std::uint64_t>());
-        for (const auto& value : whole.at("objects").as_array()) {
-            const auto& fields = value.as_array();
-            update.changes.push_back({{text_at(fields, 0), text_at(fields, 2),
-                                       object_version(fields.at(1).to_number<std::uint64_t>())},
-                                      false});
+        relay_answer answer;
+        answer.is_source = whole.at("is_source").as_bool();
+        for (const auto& update : whole.at("updates").as_array()) {
+            answer.updates.push_back(update_from(update.as_object()));
         }
-        return update;
+        return answer;
     });
 }
 
--- a/src/gateway/news_codec.h
+++ b/src/gateway/news_codec.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "membership/membership_types.h"
 #include "store/collection_types.h"
@@ -14,6 +15,13 @@
     std::map<store::collection, object_version> changed_at;
 };
 
+//! What an instance that watches the store tells one that follows it.
+struct relay_answer
+{
+    bool is_source = false; //!< the sender is in touch with the store; if not, the updates are empty
+    std::vector<store::collection_update> updates;
+};
+
 //! JSON; member records are arrays to keep them short.
 std::string encode_news(const peer_news& news);
 //! Throws `gateway_error`.
@@ -21,6 +29,11 @@
 std::string encode_collection(const store::collection_update& update);
 //! Throws `gateway_error`.
 store::collection_update decode_collection(const std::string& text);
+//! A version in a query. Throws `gateway_error`.
+object_version parse_version(const std::string& text);
+std::string encode_relay_answer(const relay_answer& answer);
+//! Throws `gateway_error`.
+relay_answer decode_relay_answer(const std::string& text);
 //! The object that an instance registers in the store.
 std::string encode_registration(const membership::member_description& member);
 //! Throws `gateway_error`.
--- a/src/gateway/peer_circle.cpp
+++ b/src/gateway/peer_circle.cpp
@@ -225,7 +225,8 @@
         return;
     }
     http::http_request request;
-    request.target = std::string(collection_path) + "?name=" + std::string(store::to_string(which));
+    request.target = std::string(collection_path) + "?name=" + std::string(store::to_string(which)) +
+                     "&since=" + std::to_string(this->view.mirror(which).at().value());
     this->client->send(http::parse_endpoint(address), std::move(request), clock_now() + collection_timeout,
                        http::connection_choice::reuse, [this, which](const http::call_result& result) {
                            this->fetching.erase(which);
@@ -253,8 +254,12 @@
         }
         if (http::path_of(request.target) == collection_path) {
             const auto which = store::parse_collection(http::query_value(request.target, "name"));
+            const auto since = parse_version(http::query_value(request.target, "since"));
             exchange->respond(
-                http::json_response(encode_collection(this->view.mirror(which).snapshot(which))));
+                http::json_response(encode_collection(this->view.mirror(which).changes_since(which, since))));
+            return;
+        }
+        if (this->callbacks.on_other_call(exchange)) {
             return;
         }
         refusal.status = 404;
@@ -279,6 +284,23 @@
     return known;
 }
 
+std::vector<instance_id> peer_circle::live_in_domain() const
+{
+    std::vector<instance_id> found;
+    for (const auto& member : this->members.live_members()) {
+        if (member.domain == this->settings.where.domain) {
+            found.push_back(member.id);
+        }
+    }
+    return found;
+}
+
+std::string peer_circle::peer_address_of(const instance_id& id) const
+{
+    const auto* member = this->members.find(id);
+    return member == nullptr ? std::string() : member->record.description.peer_address;
+}
+
 std::vector<std::string> peer_circle::addresses_for(const region_id& region, const domain_id& domain) const
 {
     std::vector<std::string> in_domain;
--- a/src/gateway/peer_circle.h
+++ b/src/gateway/peer_circle.h
@@ -29,6 +29,8 @@
         //! A peer knows more of this collection although the store was heard of here.
         std::function<void(store::collection)> on_behind;
         std::function<void()> on_members_changed;
+        //! A peer's call that is not about members; returns whether it is one that another part answers.
+        std::function<bool(const http::exchange_ptr&)> on_other_call;
     };
 
     peer_circle(boost::asio::io_context& context, const gateway_settings& settings, const fleet_view& view,
@@ -52,6 +54,9 @@
     std::size_t live_count() const { return this->members.live_members().size(); }
     //! This instance and all that the store's list or a peer named and that have not ended.
     std::vector<instance_id> known_instances() const;
+    std::vector<instance_id> live_in_domain() const;
+    //! Empty when the peer is unknown.
+    std::string peer_address_of(const instance_id& id) const;
     //! Callers' addresses that a caller at `region` and `domain` should use, near ones only.
     std::vector<std::string> addresses_for(const region_id& region, const domain_id& domain) const;
 
--- /dev/null
+++ b/src/gateway/store_relay.cpp
@@ -0,0 +1,223 @@
+#include "gateway/store_relay.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/io_context.hpp>
+
+#include "gateway/gateway_errors.h"
+#include "gateway/news_codec.h"
+#include "global/log.h"
+#include "http/http_responses.h"
+
+namespace buckthornhill::gateway {
+using store::collection;
+
+namespace {
+constexpr std::string_view log_part = "relay";
+constexpr std::string_view changes_path = "/peer/changes";
+//! A follower that hears nothing for both together turns to the store, well inside the two seconds in which a
+//! change has to be in force.
+constexpr std::chrono::milliseconds follower_wait{700};
+constexpr std::chrono::milliseconds answer_timeout{400};
+//! Age of the store's last answer up to which this instance vouches for it: the pause and the wait between
+//! two confirming calls, and their round trip on a slow machine.
+constexpr std::chrono::milliseconds confirmation_age{1350};
+constexpr std::chrono::seconds followed_memory{3}; //!< a follower that has not called for so long is gone
+constexpr std::size_t max_message_bytes = 8UL * 1024 * 1024;
+constexpr unsigned status_ok = 200;
+constexpr std::array relayed{collection::configuration, collection::upstreams, collection::evacuations};
+
+time_point clock_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+http::client_limits limits_of(const gateway_settings& settings)
+{
+    http::client_limits limits;
+    limits.max_body_bytes = max_message_bytes;
+    limits.connect_timeout = answer_timeout;
+    limits.unacknowledged_timeout = settings.unacknowledged_timeout;
+    limits.max_idle_per_endpoint = 1;
+    return limits;
+}
+} // namespace
+
+store_relay::store_relay(boost::asio::io_context& context, const gateway_settings& settings,
+                         const fleet_view& known, hooks reactions)
+    : view(known)
+    , callbacks(std::move(reactions))
+    , source(settings.id, settings.where.domain, news_source_configuration{})
+    , client(std::make_unique<http::http_client>(context, limits_of(settings)))
+{
+}
+
+store_relay::~store_relay() = default;
+
+bool store_relay::is_call(std::string_view target)
+{
+    return http::path_of(target) == changes_path;
+}
+
+void store_relay::set_members(const std::vector<instance_id>& live)
+{
+    this->source.set_members(live);
+    this->report_source();
+}
+
+void store_relay::on_tick(time_point now)
+{
+    const bool followed = now < this->followed_until;
+    if (std::exchange(this->is_followed, followed) != followed) {
+        this->source.set_followed(followed);
+        this->callbacks.on_followed_changed(followed);
+    }
+    this->answer_followers(now);
+    if (this->is_leaving || !this->view.is_complete()) {
+        return;
+    }
+    if (const auto relay = this->source.next_call(now)) {
+        this->call(now, *relay);
+    }
+}
+
+void store_relay::on_store_answer(time_point now, collection which)
+{
+    this->confirmed_at[which] = now;
+}
+
+void store_relay::on_store_lost(collection which)
+{
+    this->confirmed_at.erase(which);
+}
+
+void store_relay::on_view_changed(time_point now)
+{
+    this->answer_followers(now);
+}
+
+void store_relay::on_doubt(time_point now)
+{
+    this->source.on_doubt(now);
+    this->report_source();
+}
+
+void store_relay::begin_leave(time_point now)
+{
+    this->is_leaving = true;
+    this->answer_followers(now);
+}
+
+bool store_relay::is_in_touch(time_point now) const
+{
+    if (this->is_leaving || !this->source.watches_store() || !this->view.is_complete()) {
+        return false;
+    }
+    //! NOTE The upstreams' calls are the ones that confirm; the others wait longer.
+    const auto latest = this->confirmed_at.find(collection::upstreams);
+    return latest != this->confirmed_at.end() && now - latest->second <= confirmation_age &&
+           this->confirmed_at.contains(collection::configuration) &&
+           this->confirmed_at.contains(collection::evacuations);
+}
+
+bool store_relay::has_news_for(const follower& waiting) const
+{
+    return std::ranges::any_of(relayed, [&](collection which) {
+        return this->view.mirror(which).changed_at() > waiting.known.at(which);
+    });
+}
+
+void store_relay::on_follower(time_point now, const http::exchange_ptr& exchange)
+{
+    follower waiting{exchange, {}, now + follower_wait};
+    for (const auto which : relayed) {
+        waiting.known[which] =
+            parse_version(http::query_value(exchange->request().target, store::to_string(which)));
+    }
+    if (!this->is_leaving && this->source.watches_store()) {
+        this->followed_until = now + followed_memory;
+    }
+    this->followers.push_back(std::move(waiting));
+    this->answer_followers(now);
+}
+
+void store_relay::answer_followers(time_point now)
+{
+    if (this->followers.empty()) {
+        return;
+    }
+    const bool in_touch = this->is_in_touch(now);
+    std::erase_if(this->followers, [&](const follower& waiting) {
+        const bool is_due = !in_touch || now >= waiting.until || this->has_news_for(waiting);
+        if (is_due) {
+            this->answer(now, waiting);
+        }
+        return is_due;
+    });
+}
+
+void store_relay::answer(time_point now, const follower& waiting)
+{
+    relay_answer answer;
+    answer.is_source = this->is_in_touch(now);
+    if (answer.is_source) {
+        for (const auto which : relayed) {
+            const auto& mirror = this->view.mirror(which);
+            if (mirror.changed_at() > waiting.known.at(which)) {
+                answer.updates.push_back(mirror.changes_since(which, waiting.known.at(which)));
+            }
+        }
+    }
+    waiting.exchange->respond(http::json_response(encode_relay_answer(answer)));
+}
+
+void store_relay::call(time_point now, const instance_id& relay)
+{
+    const auto address = this->callbacks.peer_address_of(relay);
+    if (address.empty()) {
+        this->source.on_failure(now);
+        return;
+    }
+    http::http_request request;
+    request.target = std::string(changes_path) + "?";
+    for (const auto which : relayed) {
+        request.target += std::string(store::to_string(which)) + "=" +
+                          std::to_string(this->view.mirror(which).at().value()) + "&";
+    }
+    this->client->send(http::parse_endpoint(address), std::move(request),
+                       now + follower_wait + answer_timeout, http::connection_choice::reuse,
+                       [this](const http::call_result& result) { this->on_result(result); });
+}
+
+void store_relay::on_result(const http::call_result& result)
+{
+    const auto now = clock_now();
+    relay_answer answer;
+    if (result.status == http::call_status::complete && result.response.status == status_ok) {
+        try {
+            answer = decode_relay_answer(result.response.body);
+        } catch (const gateway_error& failure) {
+            log::event(log_part, "answer_unreadable", {{"reason", failure.what()}});
+        }
+    }
+    this->source.on_answer(now, answer.is_source);
+    for (const auto& update : answer.updates) {
+        this->callbacks.on_collection(update);
+    }
+    this->report_source();
+    this->on_tick(now);
+}
+
+void store_relay::report_source()
+{
+    const bool watches = this->source.watches_store();
+    if (std::exchange(this->was_watching, watches) == watches) {
+        return;
+    }
+    //! NOTE What the store confirmed before this instance followed another one says nothing now.
+    this->confirmed_at.clear();
+    log::event(log_part, watches ? "watches_store" : "follows", {{"relay", this->source.relay().str()}});
+    this->callbacks.on_source_changed(watches);
+}
+} // namespace buckthornhill::gateway
--- /dev/null
+++ b/src/gateway/store_relay.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "gateway/fleet_view.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/news_source.h"
+#include "http/http_client.h"
+#include "http/http_exchange.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace buckthornhill::gateway {
+//! Passes the store's changes on inside a failure domain, both ways: this instance follows another one, or
+//! others follow it. Everything runs on the request thread.
+class store_relay
+{
+public:
+    struct hooks
+    {
+        std::function<void(const store::collection_update&)> on_collection;
+        //! The store is to be watched from now on, or need not be.
+        std::function<void(bool watches_store)> on_source_changed;
+        //! Others follow this instance from now on, or nobody does any more.
+        std::function<void(bool is_followed)> on_followed_changed;
+        std::function<std::string(const instance_id&)> peer_address_of;
+    };
+
+    store_relay(boost::asio::io_context& context, const gateway_settings& settings, const fleet_view& view,
+                hooks callbacks);
+    ~store_relay();
+    store_relay(const store_relay&) = delete;
+    store_relay& operator=(const store_relay&) = delete;
+
+    //! Live instances of the own failure domain.
+    void set_members(const std::vector<instance_id>& live);
+    void on_tick(time_point now);
+    //! The store itself answered for this collection.
+    void on_store_answer(time_point now, store::collection which);
+    void on_store_lost(store::collection which);
+    //! The view may have changed: who waits for that is answered.
+    void on_view_changed(time_point now);
+    //! See `news_source::on_doubt`.
+    void on_doubt(time_point now);
+    //! This instance ends: those that follow it are sent to the store.
+    void begin_leave(time_point now);
+    bool watches_store() const { return this->source.watches_store(); }
+
+    //! Whether `target` is a follower's call.
+    static bool is_call(std::string_view target);
+    //! A follower's call; answered when there is news for it, or when its wait is over.
+    void on_follower(time_point now, const http::exchange_ptr& exchange);
+
+private:
+    struct follower
+    {
+        http::exchange_ptr exchange;
+        std::map<store::collection, object_version> known;
+        time_point until;
+    };
+
+    bool is_in_touch(time_point now) const;
+    bool has_news_for(const follower& waiting) const;
+    void answer_followers(time_point now);
+    void answer(time_point now, const follower& waiting);
+    void call(time_point now, const instance_id& relay);
+    void on_result(const http::call_result& result);
+    void report_source();
+
+    const fleet_view& view;
+    hooks callbacks;
+    news_source source;
+    std::unique_ptr<http::http_client> client;
+    std::map<store::collection, time_point> confirmed_at; //!< by the store itself
+    std::vector<follower> followers;
+    time_point followed_until{};
+    bool is_followed = false;
+    bool was_watching = true;
+    bool is_leaving = false;
+};
+} // namespace buckthornhill::gateway
--- a/src/gateway/tests/news_codec_tests.cpp
+++ b/src/gateway/tests/news_codec_tests.cpp
@@ -45,6 +45,7 @@
 TEST_CASE("[GIVEN] a collection [WHEN] a peer sends it [THEN] it arrives whole with its version", "[gateway]")
 {
     store::collection_update update;
+    update.is_whole = true;
     update.which = store::collection::evacuations;
     update.at = object_version(6);
     update.changes.push_back({{"north-a", "{\"quoted\":\"text\"}", object_version(5)}, false});
@@ -59,6 +60,29 @@
     CHECK(back.changes[0].object.version == object_version(5));
 }
 
+TEST_CASE("[GIVEN] changes of a collection [WHEN] a relay passes them on [THEN] removals stay removals",
+          "[gateway]")
+{
+    store::collection_update update;
+    update.which = store::collection::upstreams;
+    update.after_outage = true;
+    update.at = object_version(9);
+    update.changes.push_back({{"u1", "text", object_version(8)}, false});
+    update.changes.push_back({{"u2", "", object_version(9)}, true});
+
+    const auto back = decode_relay_answer(encode_relay_answer({true, {update}}));
+
+    CHECK(back.is_source);
+    REQUIRE(back.updates.size() == 1);
+    CHECK_FALSE(back.updates[0].is_whole);
+    CHECK(back.updates[0].after_outage);
+    REQUIRE(back.updates[0].changes.size() == 2);
+    CHECK_FALSE(back.updates[0].changes[0].is_removed);
+    CHECK(back.updates[0].changes[1].is_removed);
+    CHECK(back.updates[0].changes[1].object.name == "u2");
+    CHECK_THROWS_AS(decode_relay_answer("{}"), gateway_error);
+}
+
 TEST_CASE("[GIVEN] a registration [WHEN] another instance reads it [THEN] it finds the addresses",
           "[gateway]")
 {
--- /dev/null
+++ b/src/gateway/tests/news_source_tests.cpp
@@ -0,0 +1,149 @@
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "gateway/news_source.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+const time_point start{std::chrono::seconds(100)};
+const domain_id domain("north-a");
+
+std::vector<instance_id> instances(std::size_t count)
+{
+    std::vector<instance_id> all;
+    for (std::size_t i = 0; i < count; ++i) {
+        all.emplace_back("n" + std::to_string(i));
+    }
+    return all;
+}
+
+news_source source_of(const instance_id& self, const std::vector<instance_id>& members)
+{
+    news_source source(self, domain, {});
+    source.set_members(members);
+    return source;
+}
+
+//! An instance that is not the relay among `members`.
+instance_id a_follower(const std::vector<instance_id>& members)
+{
+    for (const auto& candidate : members) {
+        if (!source_of(candidate, members).relay().empty()) {
+            return candidate;
+        }
+    }
+    return {};
+}
+} // namespace
+
+TEST_CASE(
+    "[GIVEN] many instances in a failure domain [WHEN] they choose [THEN] one watches the store for all",
+    "[gateway][pattern: every instance watches the store]")
+{
+    const auto members = instances(15);
+    std::set<instance_id> relays;
+    int watching = 0;
+    for (const auto& self : members) {
+        auto source = source_of(self, members);
+        CHECK(source.watches_store());
+        if (const auto relay = source.next_call(start)) {
+            relays.insert(*relay);
+            source.on_answer(start, true);
+        }
+        watching += source.watches_store() ? 1 : 0;
+    }
+    CHECK(watching == 1);
+    CHECK(relays.size() == 1);
+}
+
+TEST_CASE("[GIVEN] few instances in a failure domain [WHEN] they choose [THEN] each watches the store",
+          "[gateway]")
+{
+    const auto members = instances(3);
+    for (const auto& self : members) {
+        CHECK_FALSE(source_of(self, members).next_call(start));
+    }
+}
+
+TEST_CASE("[GIVEN] a relay that serves [WHEN] it is late or out of touch [THEN] the store is watched at once",
+          "[gateway][pattern: the relay is cut off, frozen or stopped]")
+{
+    const auto members = instances(9);
+    const auto self = a_follower(members);
+    auto source = source_of(self, members);
+    REQUIRE(source.next_call(start));
+    CHECK_FALSE(source.next_call(start));
+    source.on_answer(start, true);
+    REQUIRE_FALSE(source.watches_store());
+
+    SECTION("late")
+    {
+        REQUIRE(source.next_call(start));
+        source.on_failure(start);
+    }
+    SECTION("out of touch with the store")
+    {
+        REQUIRE(source.next_call(start));
+        source.on_answer(start, false);
+    }
+    SECTION("behind others")
+    {
+        source.on_doubt(start);
+    }
+    SECTION("behind others while an answer is on its way")
+    {
+        REQUIRE(source.next_call(start));
+        source.on_doubt(start);
+        source.on_answer(start, true);
+    }
+    CHECK(source.watches_store());
+    CHECK_FALSE(source.next_call(start + milliseconds(1999)));
+    CHECK(source.next_call(start + milliseconds(2000)));
+}
+
+TEST_CASE("[GIVEN] a relay that serves [WHEN] it ends [THEN] the next one is asked without delay",
+          "[gateway]")
+{
+    auto members = instances(9);
+    const auto self = a_follower(members);
+    auto source = source_of(self, members);
+    const auto relay = *source.next_call(start);
+    source.on_answer(start, true);
+    std::erase(members, relay);
+    source.set_members(members);
+    CHECK(source.watches_store());
+    CHECK(source.relay() != relay);
+}
+
+TEST_CASE("[GIVEN] a relay that serves [WHEN] others come and go [THEN] it is kept", "[gateway]")
+{
+    auto members = instances(9);
+    const auto self = a_follower(members);
+    auto source = source_of(self, members);
+    const auto relay = *source.next_call(start);
+    source.on_answer(start, true);
+    for (auto& more : instances(40)) {
+        if (std::ranges::find(members, more) == members.end()) {
+            members.push_back(more);
+            source.set_members(members);
+            CHECK(source.relay() == relay);
+            CHECK_FALSE(source.watches_store());
+        }
+    }
+}
+
+TEST_CASE(
+    "[GIVEN] an instance that others follow [WHEN] another would be chosen [THEN] it stays with the store",
+    "[gateway]")
+{
+    const auto members = instances(9);
+    auto source = source_of(a_follower(members), members);
+    source.set_followed(true);
+    CHECK_FALSE(source.next_call(start));
+    source.set_followed(false);
+    CHECK(source.next_call(start));
+}
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -54,6 +54,8 @@
     object_version at;
     bool is_listed = false;
     bool is_in_contact = false;
+    bool asks_at_once = false; //!< the next call is not to wait
+    bool is_calling = false;
     bool was_in_contact = false;
     time_point contact_since{};
     time_point changed_at{};
@@ -91,13 +93,33 @@
     }
 }
 
+std::chrono::milliseconds collection_watcher::wait_of(collection which) const
+{
+    const auto& state = *this->watches.at(which);
+    //! NOTE Out of contact the store is asked to answer at once: only an answer shows that it is back, and
+    //! from its return on it is known what may only have lapsed.
+    if (!state.is_in_contact || state.asks_at_once) {
+        return at_once;
+    }
+    const bool confirms = this->is_confirming && which == collection::upstreams;
+    return confirms ? this->configuration.confirming_wait : this->configuration.wait;
+}
+
+std::chrono::milliseconds collection_watcher::longest_pause() const
+{
+    return this->is_confirming ? this->configuration.confirming_pause : this->configuration.max_pause;
+}
+
 void collection_watcher::call(collection which)
 {
+    if (this->is_suspended) {
+        return;
+    }
     auto& state = *this->watches.at(which);
+    state.is_calling = true;
     if (state.is_listed) {
-        //! NOTE Out of contact the store is asked to answer at once: only an answer shows that it is back,
-        //! and from its return on it is known what may only have lapsed.
-        const auto wait = state.is_in_contact ? this->configuration.wait : at_once;
+        const auto wait = this->wait_of(which);
+        state.asks_at_once = false;
         state.call = this->client->send(
             this->server, this->dialect.watch(which, state.at, wait),
             now() + wait + this->configuration.call_timeout, http::connection_choice::reuse,
@@ -113,6 +135,13 @@
 void collection_watcher::on_list_result(collection which, const http::call_result& result)
 {
     auto& state = *this->watches.at(which);
+    state.is_calling = false;
+    if (result.status == http::call_status::cancelled) {
+        state.pages.clear();
+        state.list_after.clear();
+        this->call(which);
+        return;
+    }
     if (result.status != http::call_status::complete || result.response.status != status_ok) {
         this->on_failure(which, result);
         return;
@@ -141,11 +170,12 @@
 
 void collection_watcher::on_watch_result(collection which, const http::call_result& result)
 {
+    auto& state = *this->watches.at(which);
+    state.is_calling = false;
     if (result.status == http::call_status::cancelled) {
         this->call(which);
         return;
     }
-    auto& state = *this->watches.at(which);
     const bool is_answer = result.status == http::call_status::complete;
     if (is_answer && result.response.status == status_gone) {
         log::info(log_part,
@@ -198,9 +228,8 @@
     auto& state = *this->watches.at(which);
     const auto time = now();
     const bool goes_on = time - state.changed_at < 2 * this->configuration.max_pause;
-    state.pause =
-        goes_on ? std::clamp(state.pause * 2, this->configuration.min_pause, this->configuration.max_pause)
-                : this->configuration.min_pause;
+    state.pause = goes_on ? std::clamp(state.pause * 2, this->configuration.min_pause, this->longest_pause())
+                          : this->configuration.min_pause;
     state.changed_at = time;
     this->call_later(which, state.pause);
 }
@@ -269,6 +298,40 @@
     }
 }
 
+void collection_watcher::suspend()
+{
+    this->is_suspended = true;
+    for (auto& [which, state] : this->watches) {
+        state->timer.cancel();
+        this->client->cancel(state->call);
+    }
+}
+
+void collection_watcher::resume(const std::map<collection, object_version>& known)
+{
+    if (!std::exchange(this->is_suspended, false)) {
+        return;
+    }
+    for (auto& [which, state] : this->watches) {
+        const auto version = known.find(which);
+        if (state->is_listed && version != known.end()) {
+            state->at = std::max(state->at, version->second);
+        }
+        state->asks_at_once = true;
+        //! NOTE A call that is being cancelled is made again when its end is heard of.
+        if (!state->is_calling) {
+            this->call(which);
+        }
+    }
+}
+
+void collection_watcher::set_confirming(bool confirms)
+{
+    if (std::exchange(this->is_confirming, confirms) != confirms && confirms) {
+        this->refresh(collection::upstreams);
+    }
+}
+
 void collection_watcher::publish_instance(const std::string& name, const std::string& body)
 {
     this->instance_name = name;
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -43,6 +43,10 @@
     //! doubles while they go on, up to two fifths of the two seconds in which a change has to be in force.
     std::chrono::milliseconds min_pause{250};
     std::chrono::milliseconds max_pause{800};
+    //! The same two while contact is being confirmed: together they bound how old a confirmation gets, and
+    //! leave the instances that depend on it a second of the two in which a change has to be in force.
+    std::chrono::milliseconds confirming_wait{600};
+    std::chrono::milliseconds confirming_pause{400};
     //! The instances' list seeds heartbeats, which bring the rest, so it is read but not watched.
     std::chrono::milliseconds instances_interval{30000};
 };
@@ -64,6 +68,12 @@
     void start();
     //! A peer knows more: the waiting call may have gone silent, so a new one takes its place.
     void refresh(collection which);
+    //! Makes no more calls for lists and changes until `resume`: another instance passes them on.
+    void suspend();
+    //! Goes on from the versions that are known by now.
+    void resume(const std::map<collection, object_version>& known);
+    //! While others depend on it, contact with the store is confirmed about once a second.
+    void set_confirming(bool confirms);
     //! Writes this instance's object, again and again until the store took it.
     void publish_instance(const std::string& name, const std::string& body);
     //! Removes it; tried once, since the process is about to end.
@@ -73,6 +83,8 @@
     struct watch;
 
     void call(collection which);
+    std::chrono::milliseconds wait_of(collection which) const;
+    std::chrono::milliseconds longest_pause() const;
     void on_list_result(collection which, const http::call_result& result);
     void on_watch_result(collection which, const http::call_result& result);
     void on_failure(collection which, const http::call_result& result);
@@ -93,6 +105,8 @@
     std::unique_ptr<http::http_client> client;
     std::map<collection, std::unique_ptr<watch>> watches;
     std::unique_ptr<boost::asio::steady_timer> publish_again;
+    bool is_suspended = false;
+    bool is_confirming = false;
     std::string instance_name;
     std::string instance_body;
 };
