Go on from a relay's versions; notice an outage that began while following

Cause, by reading: an instance that follows a relay has no contact of its own, so an outage that begins then would not have been noticed as one, and registrations that only lapsed would have been dropped at once; and turning to the store listed all upstreams (190 KB) although they were known. Now the watch goes on from the known versions, and a failure before the first contact counts as a loss. A starting instance follows a relay before it is live. Contact is vouched for 1.55 s instead of 1.35 s, so a store that answers 50 times slower does not send everybody to it. Tests of both faults failed first.

--- a/src/gateway/news_source.cpp
+++ b/src/gateway/news_source.cpp
@@ -28,7 +28,7 @@
 void news_source::choose()
 {
     const auto previous = std::exchange(this->chosen, instance_id{});
-    if (this->members.size() < this->configuration.least_members || !this->members.contains(this->self)) {
+    if (this->members.size() < this->configuration.least_members) {
         return;
     }
     const auto first =
--- a/src/gateway/news_source.h
+++ b/src/gateway/news_source.h
@@ -14,6 +14,9 @@
     //! In smaller failure domains the calls that confirm contact cost more than the relay saves.
     std::size_t least_members = 4;
     std::chrono::milliseconds retry_after{2000}; //!< a relay that failed is not asked again before
+    //! At the start, time for a first peer to answer before the store is asked: some round trips between
+    //! regions.
+    std::chrono::milliseconds undecided_time{300};
 };
 
 //! From where this instance learns what the store holds: from the store itself, or from the one instance of
@@ -24,7 +27,7 @@
 public:
     news_source(instance_id self, const domain_id& domain, const news_source_configuration& configuration);
 
-    //! Live instances of the own failure domain, this one included.
+    //! Live instances of the own failure domain. Until this one is among them it may follow any of them.
     void set_members(const std::vector<instance_id>& live);
     //! The relay to ask now, if any; the caller then reports the end of that call.
     std::optional<instance_id> next_call(time_point now);
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -21,8 +21,8 @@
 constexpr std::chrono::milliseconds follower_wait{700};
 constexpr std::chrono::milliseconds answer_timeout{400};
 //! Age of the store's last answer up to which this instance vouches for it: the pause and the wait between
-//! two confirming calls, and their round trip on a slow machine.
-constexpr std::chrono::milliseconds confirmation_age{1350};
+//! two confirming calls, and some hundred milliseconds for a slow machine or a slow store.
+constexpr std::chrono::milliseconds confirmation_age{1550};
 constexpr std::chrono::seconds followed_memory{3}; //!< a follower that has not called for so long is gone
 constexpr std::size_t max_message_bytes = 8UL * 1024 * 1024;
 constexpr unsigned status_ok = 200;
@@ -74,7 +74,7 @@
         this->callbacks.on_followed_changed(followed);
     }
     this->answer_followers(now);
-    if (this->is_leaving || !this->view.is_complete()) {
+    if (this->is_leaving) {
         return;
     }
     if (const auto relay = this->source.next_call(now)) {
@@ -121,19 +121,25 @@
            this->confirmed_at.contains(collection::evacuations);
 }
 
+bool store_relay::lacks(const follower& waiting, collection which) const
+{
+    const auto known = waiting.known.find(which);
+    return known == waiting.known.end() || this->view.mirror(which).changed_at() > known->second;
+}
+
 bool store_relay::has_news_for(const follower& waiting) const
 {
-    return std::ranges::any_of(relayed, [&](collection which) {
-        return this->view.mirror(which).changed_at() > waiting.known.at(which);
-    });
+    return std::ranges::any_of(relayed, [&](collection which) { return this->lacks(waiting, which); });
 }
 
 void store_relay::on_follower(time_point now, const http::exchange_ptr& exchange)
 {
     follower waiting{exchange, {}, now + follower_wait};
     for (const auto which : relayed) {
-        waiting.known[which] =
-            parse_version(http::query_value(exchange->request().target, store::to_string(which)));
+        const auto version = http::query_value(exchange->request().target, store::to_string(which));
+        if (!version.empty()) {
+            waiting.known[which] = parse_version(version);
+        }
     }
     if (!this->is_leaving && this->source.watches_store()) {
         this->followed_until = now + followed_memory;
@@ -163,9 +169,10 @@
     answer.is_source = this->is_in_touch(now);
     if (answer.is_source) {
         for (const auto which : relayed) {
-            const auto& mirror = this->view.mirror(which);
-            if (mirror.changed_at() > waiting.known.at(which)) {
-                answer.updates.push_back(mirror.changes_since(which, waiting.known.at(which)));
+            if (this->lacks(waiting, which)) {
+                const auto known = waiting.known.find(which);
+                const auto since = known == waiting.known.end() ? object_version() : known->second;
+                answer.updates.push_back(this->view.mirror(which).changes_since(which, since));
             }
         }
     }
@@ -182,8 +189,11 @@
     http::http_request request;
     request.target = std::string(changes_path) + "?";
     for (const auto which : relayed) {
-        request.target += std::string(store::to_string(which)) + "=" +
-                          std::to_string(this->view.mirror(which).at().value()) + "&";
+        const auto& mirror = this->view.mirror(which);
+        if (mirror.is_known()) {
+            request.target +=
+                std::string(store::to_string(which)) + "=" + std::to_string(mirror.at().value()) + "&";
+        }
     }
     this->client->send(http::parse_endpoint(address), std::move(request),
                        now + follower_wait + answer_timeout, http::connection_choice::reuse,
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -60,11 +60,12 @@
     struct follower
     {
         http::exchange_ptr exchange;
-        std::map<store::collection, object_version> known;
+        std::map<store::collection, object_version> known; //!< without those that it does not know at all
         time_point until;
     };
 
     bool is_in_touch(time_point now) const;
+    bool lacks(const follower& waiting, store::collection which) const;
     bool has_news_for(const follower& waiting) const;
     void answer_followers(time_point now);
     void answer(time_point now, const follower& waiting);
--- a/src/gateway/tests/news_source_tests.cpp
+++ b/src/gateway/tests/news_source_tests.cpp
@@ -147,3 +147,14 @@
     source.set_followed(false);
     CHECK(source.next_call(start));
 }
+
+TEST_CASE(
+    "[GIVEN] an instance that starts [WHEN] it knows peers but is not live [THEN] it follows one already",
+    "[gateway][pattern: instances are stopped and started in turn]")
+{
+    auto source = source_of(instance_id("fresh"), instances(9));
+    CHECK(source.watches_store());
+    REQUIRE(source.next_call(start));
+    source.on_answer(start, true);
+    CHECK_FALSE(source.watches_store());
+}
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -56,7 +56,7 @@
     bool is_in_contact = false;
     bool asks_at_once = false; //!< the next call is not to wait
     bool is_calling = false;
-    bool was_in_contact = false;
+    bool was_lost = false; //!< what is known is from before a loss of contact
     time_point contact_since{};
     time_point changed_at{};
     std::chrono::milliseconds backoff{0};
@@ -86,13 +86,6 @@
 
 collection_watcher::~collection_watcher() = default;
 
-void collection_watcher::start()
-{
-    for (const auto which : all_collections) {
-        this->call(which);
-    }
-}
-
 std::chrono::milliseconds collection_watcher::wait_of(collection which) const
 {
     const auto& state = *this->watches.at(which);
@@ -241,9 +234,9 @@
         return;
     }
     state.is_in_contact = true;
-    //! NOTE The first contact of this process follows no outage that it knows of.
-    state.contact_since = state.was_in_contact ? now() : time_point{};
-    state.was_in_contact = true;
+    //! NOTE The first contact of a process that knows nothing yet follows no outage.
+    state.contact_since = state.was_lost ? now() : time_point{};
+    state.was_lost = false;
     for (const auto& [which, candidate] : this->watches) {
         if (candidate.get() == &state) {
             this->sink(contact_change{which, true, {}});
@@ -262,6 +255,7 @@
     auto& state = *this->watches.at(which);
     state.pages.clear();
     state.list_after.clear();
+    state.was_lost = state.was_lost || state.is_in_contact || state.is_listed;
     if (state.is_in_contact) {
         state.is_in_contact = false;
         this->sink(contact_change{which, false, describe(result)});
@@ -314,10 +308,11 @@
     }
     for (auto& [which, state] : this->watches) {
         const auto version = known.find(which);
-        if (state->is_listed && version != known.end()) {
-            state->at = std::max(state->at, version->second);
+        if (version != known.end()) {
+            state->at = state->is_listed ? std::max(state->at, version->second) : version->second;
+            state->is_listed = true;
+            state->asks_at_once = true;
         }
-        state->asks_at_once = true;
         //! NOTE A call that is being cancelled is made again when its end is heard of.
         if (!state->is_calling) {
             this->call(which);
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -65,7 +65,7 @@
     collection_watcher(const collection_watcher&) = delete;
     collection_watcher& operator=(const collection_watcher&) = delete;
 
-    void start();
+    void start() { this->resume({}); }
     //! A peer knows more: the waiting call may have gone silent, so a new one takes its place.
     void refresh(collection which);
     //! Makes no more calls for lists and changes until `resume`: another instance passes them on.
@@ -105,7 +105,7 @@
     std::unique_ptr<http::http_client> client;
     std::map<collection, std::unique_ptr<watch>> watches;
     std::unique_ptr<boost::asio::steady_timer> publish_again;
-    bool is_suspended = false;
+    bool is_suspended = true;
     bool is_confirming = false;
     std::string instance_name;
     std::string instance_body;
--- a/src/store/tests/collection_watcher_tests.cpp
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -100,11 +100,13 @@
         if (publishes) {
             this->watcher.publish_instance("n1", "{}");
         } else {
-            this->watcher.start();
+            this->watcher.resume(this->known);
         }
         this->context.run();
     }
 
+    std::map<collection, object_version> known; //!< when the watcher starts
+
     std::vector<std::string> calls;
     std::vector<collection_update> updates;
     std::vector<bool> contacts;
@@ -240,3 +242,29 @@
     store.play(true);
     CHECK(store.calls == std::vector<std::string>{"POST /put/n1", "PUT /put/n1"});
 }
+
+TEST_CASE("[GIVEN] a collection that a peer has brought [WHEN] the store is watched again [THEN] it goes on "
+          "from there",
+          "[store][pattern: the relay of a failure domain ends]")
+{
+    scripted_store store({{200, "b@9"}});
+    store.known[collection::upstreams] = object_version(7);
+    store.play();
+    REQUIRE(store.calls.size() == 2);
+    CHECK(store.calls[0] == "GET /upstreams?since=7&answer=at-once");
+    CHECK(store.calls[1] == "GET /upstreams?since=9");
+    REQUIRE(store.updates.size() == 1);
+    CHECK_FALSE(store.updates[0].after_outage);
+}
+
+TEST_CASE(
+    "[GIVEN] a collection that a peer has brought [WHEN] the store is away first [THEN] changes are after an "
+    "outage",
+    "[store][pattern: the relay of a failure domain ends in an outage]")
+{
+    scripted_store store({{503, ""}, {200, "b@9"}});
+    store.known[collection::upstreams] = object_version(7);
+    store.play();
+    REQUIRE(store.updates.size() == 1);
+    CHECK(store.updates[0].after_outage);
+}
