Add a fault soak of the gateway with stand-ins of the platform

tools/soak runs gateways as separate processes on loopback addresses of their own, against a store and upstreams that speak the platform's protocol (platform/tests/standins). From a seed it kills, pauses, stops and reloads processes, spoils connections to the store and to upstreams through a loopback proxy (late, silent, one way, reset), makes the store silent, refusing, slow, lossy or forgetful, crashes, replaces and drains upstreams and changes the configuration, in series that overlap. Until now no test ran the gateway as a process.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -23,6 +23,12 @@
     return line;
 }
 
+int exit_code_of(int status)
+{
+    constexpr int signal_base = 128;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : signal_base + WTERMSIG(status);
+}
+
 std::vector<std::string> environment_with(const std::map<std::string, std::string>& added)
 {
     std::vector<std::string> all;
@@ -75,13 +81,13 @@
     close(ends[0]);
     int status = 0;
     waitpid(process, &status, 0);
-    finished.exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    finished.exit_code = exit_code_of(status);
     return finished;
 }
 
 child_process::child_process(const std::vector<std::string>& command,
                              const std::map<std::string, std::string>& environment,
-                             const std::string& log_file)
+                             const std::string& log_file, child_output output)
 {
     int ends[2];
     if (pipe2(ends, O_CLOEXEC) != 0) {
@@ -89,9 +95,10 @@
     }
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(), O_CREAT | O_WRONLY | O_APPEND,
                                      0644);
+    const bool is_logged = output == child_output::log;
+    posix_spawn_file_actions_adddup2(&actions, is_logged ? STDERR_FILENO : ends[1], STDOUT_FILENO);
     auto arguments = command;
     auto variables = environment_with(environment);
     const int status = posix_spawn(&this->process, command.front().c_str(), &actions, nullptr,
@@ -102,7 +109,9 @@
         close(ends[0]);
         throw std::runtime_error("cannot start " + command.front());
     }
-    this->line = read_line(ends[0]);
+    if (!is_logged) {
+        this->line = read_line(ends[0]);
+    }
     close(ends[0]);
 }
 
@@ -132,7 +141,17 @@
     int status = 0;
     waitpid(this->process, &status, 0);
     this->process = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    return exit_code_of(status);
+}
+
+std::optional<int> child_process::poll()
+{
+    int status = 0;
+    if (this->process <= 0 || waitpid(this->process, &status, WNOHANG) != this->process) {
+        return std::nullopt;
+    }
+    this->process = -1;
+    return exit_code_of(status);
 }
 
 } // namespace buckthornhill::testing
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,13 +18,19 @@
 finished_process run_to_end(const std::vector<std::string>& command,
                             const std::map<std::string, std::string>& environment);
 
+enum class child_output {
+    first_line, //!< of standard output is read, the rest is lost; standard error goes to the log file
+    log         //!< both go to the log file
+};
+
 //! A process that a test started. Ended with SIGKILL when the object goes.
 class child_process
 {
 public:
-    //! Starts `command` with `environment` added to the own one and reads the first line that it prints.
+    //! Starts `command` with `environment` added to the own one.
     child_process(const std::vector<std::string>& command,
-                  const std::map<std::string, std::string>& environment, const std::string& log_file);
+                  const std::map<std::string, std::string>& environment, const std::string& log_file,
+                  child_output output = child_output::first_line);
     ~child_process();
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&&) = delete;
@@ -35,6 +42,8 @@
     void signal(int number) const;
     //! Waits for the end; returns the exit code, or 128 and the signal's number.
     int wait();
+    //! The same without waiting; nothing while the process runs.
+    std::optional<int> poll();
 
 private:
     pid_t process = -1;
--- /dev/null
+++ b/tools/soak/loopback_proxy.cpp
@@ -0,0 +1,155 @@
+#include "loopback_proxy.h"
+
+#include <array>
+#include <list>
+
+#include <boost/asio.hpp>
+
+namespace buckthornhill::soak {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+constexpr std::chrono::milliseconds delay_time{120};
+constexpr std::chrono::milliseconds hold_interval{20}; //!< between two looks whether data may pass again
+constexpr std::size_t piece_bytes = 16UL * 1024;
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+
+//! One client's connection and the one to the target.
+struct connection_pair
+{
+    explicit connection_pair(asio::io_context& context, tcp::socket accepted)
+        : near(std::move(accepted))
+        , far(context)
+    {
+    }
+
+    void reset()
+    {
+        boost::system::error_code ignored;
+        for (auto* socket : {&this->near, &this->far}) {
+            socket->set_option(asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        }
+    }
+
+    tcp::socket near;
+    tcp::socket far;
+};
+using pair_ptr = std::shared_ptr<connection_pair>;
+} // namespace
+
+struct loopback_proxy::implementation : std::enable_shared_from_this<implementation>
+{
+    implementation(asio::io_context& io, const http::endpoint& to)
+        : context(io)
+        , target(asio::ip::make_address(to.address), to.port)
+        , acceptor(io, {asio::ip::address_v4::loopback(), 0})
+    {
+    }
+
+    bool holds(bool is_answer) const
+    {
+        return this->mode == proxy_mode::silent || (this->mode == proxy_mode::no_answers && is_answer);
+    }
+
+    static asio::awaitable<void> accept(std::shared_ptr<implementation> self)
+    {
+        while (self->acceptor.is_open()) {
+            auto [failure, socket] = co_await self->acceptor.async_accept(quietly);
+            if (failure) {
+                co_return;
+            }
+            const auto pair = std::make_shared<connection_pair>(self->context, std::move(socket));
+            if (self->mode == proxy_mode::refuse) {
+                pair->reset();
+                continue;
+            }
+            self->pairs.push_back(pair);
+            asio::co_spawn(self->context, connect(self, pair), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> connect(std::shared_ptr<implementation> self, pair_ptr pair)
+    {
+        const auto [failure] = co_await pair->far.async_connect(self->target, quietly);
+        if (failure) {
+            pair->reset();
+            co_return;
+        }
+        asio::co_spawn(self->context, pump(self, pair, false), asio::detached);
+        asio::co_spawn(self->context, pump(self, pair, true), asio::detached);
+    }
+
+    static asio::awaitable<void> pump(std::shared_ptr<implementation> self, pair_ptr pair, bool is_answer)
+    {
+        auto& from = is_answer ? pair->far : pair->near;
+        auto& to = is_answer ? pair->near : pair->far;
+        asio::steady_timer timer(self->context);
+        std::array<char, piece_bytes> piece{};
+        while (true) {
+            const auto [ended, size] = co_await from.async_read_some(asio::buffer(piece), quietly);
+            while (self->holds(is_answer) && to.is_open()) {
+                timer.expires_after(hold_interval);
+                co_await timer.async_wait(quietly);
+            }
+            if (self->mode == proxy_mode::delay) {
+                timer.expires_after(delay_time);
+                co_await timer.async_wait(quietly);
+            }
+            if (ended) {
+                break;
+            }
+            const auto [failure, written] =
+                co_await asio::async_write(to, asio::buffer(piece.data(), size), quietly);
+            if (failure) {
+                break;
+            }
+        }
+        boost::system::error_code ignored;
+        pair->near.close(ignored);
+        pair->far.close(ignored);
+        self->pairs.remove(pair);
+    }
+
+    void reset_all()
+    {
+        for (const auto& pair : this->pairs) {
+            pair->reset();
+        }
+        this->pairs.clear();
+    }
+
+    asio::io_context& context;
+    tcp::endpoint target;
+    tcp::acceptor acceptor;
+    std::list<pair_ptr> pairs;
+    proxy_mode mode = proxy_mode::pass;
+};
+
+loopback_proxy::loopback_proxy(asio::io_context& context, const http::endpoint& target)
+    : state(std::make_shared<implementation>(context, target))
+{
+    asio::co_spawn(context, implementation::accept(this->state), asio::detached);
+}
+
+loopback_proxy::~loopback_proxy()
+{
+    boost::system::error_code ignored;
+    this->state->acceptor.close(ignored);
+    this->state->reset_all();
+}
+
+http::endpoint loopback_proxy::address() const
+{
+    return {"127.0.0.1", this->state->acceptor.local_endpoint().port()};
+}
+
+void loopback_proxy::set_mode(proxy_mode mode)
+{
+    this->state->mode = mode;
+    if (mode == proxy_mode::refuse) {
+        this->state->reset_all();
+    }
+}
+} // namespace buckthornhill::soak
