--- a/src/operators/command_line.cpp
+++ b/src/operators/command_line.cpp
@@ -25,6 +25,7 @@
   report burn                 service-level burn by service; --page FILE writes a page with plots
   lookup SERVICE              which entry instances a caller should use
   call TARGET                 send one request, for example /queuedesk/item/1
+  explain REQUEST LOG...      what the logs say of a request's id, what happened around it, and what its end means
 
 exit codes: 0 done; 1 a server failed; 2 wrong usage; 3 another edit came first; 4 a check refused or calls are due;
             5 the store did not confirm the edit; 6 accepted, but not in force everywhere yet
--- a/src/operators/operators_module.cpp
+++ b/src/operators/operators_module.cpp
@@ -9,6 +9,7 @@
 #include "operators/list_commands.h"
 #include "operators/operators_errors.h"
 #include "operators/report_commands.h"
+#include "operators/request_history.h"
 #include "operators/traffic_commands.h"
 
 namespace buckthornhill::operators {
@@ -41,6 +42,29 @@
     std::function<std::string(const arguments&)> run;
 };
 
+//! Works on files alone, so it needs no store and no instances.
+std::string explain(const arguments& words, bool is_json)
+{
+    constexpr std::size_t fewest_words = 3;
+    if (words.size() < fewest_words) {
+        throw operators_error(exit_status::usage,
+                              "'explain' takes a request's id and one log or more; see --help");
+    }
+    request_history history(words[1]);
+    for (auto path = words.begin() + 2; path != words.end(); ++path) {
+        std::ifstream log(*path);
+        if (!log) {
+            throw operators_error(exit_status::usage, *path + ": cannot be read");
+        }
+        history.read(*path, log);
+    }
+    if (!history.is_found()) {
+        throw operators_error(exit_status::failure, "no log names the request " + words[1]);
+    }
+    history.finish();
+    return history.text(is_json);
+}
+
 using command_map = std::map<std::string, command_entry>;
 
 command_map make_commands(const list_commands& lists, const report_commands& reports,
@@ -70,6 +94,9 @@
 
 std::string run_command(const parsed_command& command)
 {
+    if (command.words.front() == "explain") {
+        return explain(command.words, command.configuration.is_json);
+    }
     const store_access store(command.configuration);
     const fleet_access fleet(command.configuration, store);
     const list_commands lists(command.configuration, store);
--- /dev/null
+++ b/src/operators/request_history.cpp
@@ -0,0 +1,128 @@
+#include "operators/request_history.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <string_view>
+
+#include <boost/json.hpp>
+
+#include "operators/text_table.h"
+
+namespace buckthornhill::operators {
+namespace json = boost::json;
+
+namespace {
+//! A change of belief this long before or after a request may have decided it: longer than any bound on how
+//! late a change may come into force.
+constexpr std::int64_t context_ms = 5000;
+constexpr std::array<std::string_view, 8> dependency_events{
+    "paused", "leaving", "started", "store_lost", "store_in_contact", "watches_store", "follows", "reload"};
+
+//! What each outcome and reason of an answer means, and where to look next; as in docs/OPERATIONS.md.
+const std::map<std::string, std::string, std::less<>> meanings{
+    {"answered", "The upstream's answer was delivered. If it was late: more than one send means that a first "
+                 "one failed or "
+                 "was refused; one send means that the upstream was slow or did not know the object."},
+    {"overloaded", "It did not run: no upstream could answer in the time left, or none had room."},
+    {"no-upstream",
+     "It did not run: no upstream of its service might get requests. See the changes of upstreams."},
+    {"no-configuration", "It did not run: the instance knew no configuration yet."},
+    {"paused", "It did not run: the process stood still while the request waited."},
+    {"leaving", "It did not run: the instance was about to stop."},
+    {"deadline-passed", "It did not run: its time ended before it could be sent."},
+    {"failed", "It may have run: the connection to the upstream ended without an answer."},
+    {"timed_out",
+     "It may have run: the upstream was silent until the route's timeout or the caller's deadline."},
+    {"cancelled", "The caller left before the answer."},
+    {"no_route", "No route matched, by the configuration named in the line."},
+};
+
+std::string text_in(const json::object& object, std::string_view key)
+{
+    const auto* value = object.if_contains(key);
+    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+} // namespace
+
+void request_history::read(const std::string& source, std::istream& log)
+{
+    for (std::string text; std::getline(log, text);) {
+        const auto start = text.find('{');
+        boost::system::error_code failure;
+        const auto value = start == std::string::npos
+                               ? json::value()
+                               : json::parse(std::string_view(text).substr(start), failure);
+        if (failure || !value.is_object()) {
+            continue;
+        }
+        const auto& object = value.as_object();
+        line found;
+        const auto* time = object.if_contains("time_ms");
+        found.time_ms = time != nullptr && time->is_int64() ? time->as_int64() : 0;
+        found.source = source;
+        found.part = text_in(object, "part");
+        found.event = text_in(object, "event");
+        found.upstream = text_in(object, "upstream");
+        found.json = json::serialize(object);
+        if (text_in(object, "request") == this->request) {
+            this->own.push_back(std::move(found));
+        } else if (found.event == "upstream_changed" ||
+                   std::ranges::find(dependency_events, found.event) != dependency_events.end()) {
+            this->others.push_back(std::move(found));
+        }
+    }
+}
+
+bool request_history::matters(const line& candidate) const
+{
+    return std::ranges::any_of(this->own, [&](const line& mine) {
+        const bool is_near = std::abs(candidate.time_ms - mine.time_ms) <= context_ms;
+        const bool is_upstream = candidate.event == "upstream_changed";
+        return is_near && candidate.source == mine.source &&
+               (!is_upstream || (!mine.upstream.empty() && candidate.upstream == mine.upstream));
+    });
+}
+
+void request_history::finish()
+{
+    this->kept = this->own;
+    std::ranges::copy_if(this->others, std::back_inserter(this->kept),
+                         [this](const line& candidate) { return this->matters(candidate); });
+    std::ranges::stable_sort(this->kept, {}, &line::time_ms);
+}
+
+std::string request_history::conclusion() const
+{
+    for (const auto& mine : this->own) {
+        if (mine.event != "answer") {
+            continue;
+        }
+        const auto object = json::parse(mine.json).as_object();
+        for (const auto* key : {"reason", "outcome"}) {
+            const auto meaning = meanings.find(text_in(object, key));
+            if (meaning != meanings.end()) {
+                return meaning->second;
+            }
+        }
+    }
+    return "No process logged an answer: it was still in progress, its process ended, or the line was left "
+           "out under load.";
+}
+
+std::string request_history::text(bool is_json) const
+{
+    std::string all;
+    if (is_json) {
+        for (const auto& line : this->kept) {
+            all += line.json + "\n";
+        }
+        return all;
+    }
+    text_table table({"time ms", "log", "part", "event", "facts"});
+    for (const auto& line : this->kept) {
+        table.add({std::to_string(line.time_ms), line.source, line.part, line.event, line.json});
+    }
+    return table.str() + "\n" + this->conclusion() + "\n";
+}
+} // namespace buckthornhill::operators
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -21,7 +21,9 @@
     add("seed", options::value<std::uint64_t>()->default_value(1), "first seed");
     add("runs", options::value<std::uint64_t>()->default_value(1), "so many seeds, one after the other");
     add("seconds", options::value<int>()->default_value(10), "time with trouble in each run");
-    add("gateways", options::value<std::size_t>()->default_value(6), "processes");
+    add("gateways", options::value<std::size_t>()->default_value(9), "processes");
+    add("gateway", options::value<std::string>()->default_value(BINARY_DIR "/buckthornhill-gateway"),
+        "program");
     add("callers", options::value<std::size_t>()->default_value(24), "callers at a time");
     add("logs", options::value<std::string>()->default_value("soak-logs"),
         "folder for settings and logs; those of runs that broke nothing are removed");
@@ -35,7 +37,7 @@
     wanted.length = std::chrono::seconds(values["seconds"].as<int>());
     wanted.gateways = values["gateways"].as<std::size_t>();
     wanted.callers = values["callers"].as<std::size_t>();
-    wanted.gateway_program = std::string(BINARY_DIR) + "/buckthornhill-gateway";
+    wanted.gateway_program = values["gateway"].as<std::string>();
     wanted.directory = values["logs"].as<std::string>() + "/seed-" + std::to_string(seed);
     std::filesystem::remove_all(wanted.directory);
     std::filesystem::create_directories(wanted.directory);
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -8,9 +8,11 @@
 using std::chrono::milliseconds;
 
 namespace {
-constexpr std::array<const char*, 3> domains{"north-a", "north-b", "south-a"};
+//! Two, so that each has gateways enough for a relay.
+constexpr std::array<const char*, 2> domains{"north-a", "south-a"};
 constexpr std::array<const char*, 3> services{"steady", "left", "right"};
 constexpr std::size_t upstreams_of_service = 3;
+constexpr milliseconds work_time{40};        //!< of a request, so that a crash meets some in progress
 constexpr milliseconds start_time{2500};     //!< until the gateways know everything
 constexpr milliseconds recovery_time{6000};  //!< until everything has recovered; the users allow 15 s
 constexpr milliseconds recovered_time{2000}; //!< in which the recovery is judged
@@ -110,6 +112,8 @@
     upstream_traits traits;
     traits.id = "u" + std::to_string(++this->last_upstream);
     traits.service = service;
+    traits.work = work_time;
+    traits.odd_of_hundred = 1;
     traits.domain = domains[this->last_upstream % domains.size()];
     upstream_site site;
     site.upstream = std::make_unique<platform_upstream>(this->context, traits, this->runs);
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -24,7 +24,7 @@
 {
     std::uint64_t seed = 1;
     std::chrono::seconds length{10}; //!< of the time with trouble
-    std::size_t gateways = 6;
+    std::size_t gateways = 9;
     std::size_t callers = 24;
     std::string gateway_program;
     std::string directory; //!< for settings and logs
