Share the limits of calls between instances

store_relay repeated peer_circle's. Behaviour stays: one idle connection to a peer more is kept by the relay's client (two, as for heartbeats).

--- a/src/gateway/gateway_translation.cpp
+++ b/src/gateway/gateway_translation.cpp
@@ -71,6 +71,16 @@
     return limits;
 }
 
+http::client_limits peer_limits(const gateway_settings& settings, std::chrono::milliseconds connect_timeout)
+{
+    http::client_limits limits;
+    limits.max_body_bytes = max_peer_message_bytes;
+    limits.connect_timeout = connect_timeout;
+    limits.unacknowledged_timeout = settings.unacknowledged_timeout;
+    limits.max_idle_per_endpoint = 2;
+    return limits;
+}
+
 http::server_limits caller_limits_of(const gateway_settings& settings, const routing::caller_limits& limits)
 {
     http::server_limits bounds;
--- a/src/gateway/gateway_translation.h
+++ b/src/gateway/gateway_translation.h
@@ -7,11 +7,16 @@
 
 //! Between HTTP messages and the facts that the decisions work on.
 namespace buckthornhill::gateway {
+//! A collection of some thousand upstreams.
+inline constexpr std::size_t max_peer_message_bytes = 8UL * 1024 * 1024;
+
 //! Facts of a caller's request that arrived at `now`.
 proxy::request_facts facts_of(const http::http_request& request, const caller_terms& terms, flow_id flow,
                               time_point now);
 //! What a call to an upstream tells the decisions. `terms` counts only when the call is complete.
 proxy::send_outcome outcome_of(const http::call_result& result, const upstream_terms& terms);
 http::client_limits upstream_limits(const gateway_settings& settings);
+//! For calls to other instances, whose messages may carry whole collections.
+http::client_limits peer_limits(const gateway_settings& settings, std::chrono::milliseconds connect_timeout);
 http::server_limits caller_limits_of(const gateway_settings& settings, const routing::caller_limits& limits);
 } // namespace buckthornhill::gateway
--- a/src/gateway/peer_circle.cpp
+++ b/src/gateway/peer_circle.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "gateway/gateway_errors.h"
+#include "gateway/gateway_translation.h"
 #include "global/log.h"
 #include "http/http_responses.h"
 
@@ -18,7 +19,6 @@
 constexpr std::chrono::milliseconds collection_timeout{2000}; //!< a list of some hundred kilobytes
 //! Time for the store to bring what a peer has already; its answer and the pause after it take less.
 constexpr std::chrono::milliseconds store_head_start{900};
-constexpr std::size_t max_message_bytes = 8UL * 1024 * 1024;
 constexpr std::size_t max_peer_connections = 256;
 constexpr unsigned status_ok = 200;
 
@@ -46,16 +46,6 @@
     return self;
 }
 
-http::client_limits limits_of(const gateway_settings& settings)
-{
-    http::client_limits limits;
-    limits.max_body_bytes = max_message_bytes;
-    limits.connect_timeout = news_timeout;
-    limits.unacknowledged_timeout = settings.unacknowledged_timeout;
-    limits.max_idle_per_endpoint = 2;
-    return limits;
-}
-
 } // namespace
 
 peer_circle::peer_circle(boost::asio::io_context& context, const gateway_settings& wanted,
@@ -64,11 +54,11 @@
     , view(known)
     , callbacks(std::move(reactions))
     , members(describe(wanted), wanted.membership, std::move(random))
-    , client(std::make_unique<http::http_client>(context, limits_of(wanted)))
+    , client(std::make_unique<http::http_client>(context, peer_limits(wanted, news_timeout)))
     , lag(store_head_start)
 {
     http::server_limits limits;
-    limits.max_body_bytes = max_message_bytes;
+    limits.max_body_bytes = max_peer_message_bytes;
     limits.max_connections = max_peer_connections;
     this->listener = std::make_unique<http::http_server>(
         context, wanted.peers, limits,
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "gateway/gateway_errors.h"
+#include "gateway/gateway_translation.h"
 #include "gateway/news_codec.h"
 #include "global/log.h"
 #include "http/http_responses.h"
@@ -24,7 +25,6 @@
 //! two confirming calls, and some hundred milliseconds for a slow machine or a slow store.
 constexpr std::chrono::milliseconds confirmation_age{1550};
 constexpr std::chrono::seconds followed_memory{3}; //!< a follower that has not called for so long is gone
-constexpr std::size_t max_message_bytes = 8UL * 1024 * 1024;
 constexpr unsigned status_ok = 200;
 constexpr std::array relayed{collection::configuration, collection::upstreams, collection::evacuations};
 
@@ -33,15 +33,6 @@
     return std::chrono::steady_clock::now();
 }
 
-http::client_limits limits_of(const gateway_settings& settings)
-{
-    http::client_limits limits;
-    limits.max_body_bytes = max_message_bytes;
-    limits.connect_timeout = answer_timeout;
-    limits.unacknowledged_timeout = settings.unacknowledged_timeout;
-    limits.max_idle_per_endpoint = 1;
-    return limits;
-}
 } // namespace
 
 store_relay::store_relay(boost::asio::io_context& context, const gateway_settings& settings,
@@ -49,7 +40,7 @@
     : view(known)
     , callbacks(std::move(reactions))
     , source(settings.id, settings.where.domain, news_source_configuration{})
-    , client(std::make_unique<http::http_client>(context, limits_of(settings)))
+    , client(std::make_unique<http::http_client>(context, peer_limits(settings, answer_timeout)))
 {
 }
 
