--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -15,7 +15,8 @@
 constexpr milliseconds work_time{40};        //!< of a request, so that a crash meets some in progress
 constexpr milliseconds start_time{2500};     //!< until the gateways know everything
 constexpr milliseconds recovery_time{6000};  //!< until everything has recovered; the users allow 15 s
-constexpr milliseconds recovered_time{2000}; //!< in which the recovery is judged
+constexpr milliseconds calm_work{1500};      //!< then a drain and a change come, which no trouble excuses
+constexpr milliseconds recovered_time{6000}; //!< in which the recovery and those two are judged
 constexpr milliseconds last_answers{4000};   //!< for what is in progress at the end
 constexpr std::uint64_t address_space = 250;
 
@@ -151,6 +152,10 @@
     this->after(start_time + this->options.length, [this] { this->end_trouble(); });
     const auto recovered = start_time + this->options.length + recovery_time;
     this->after(recovered, [this] { this->book.on_recovered(now()); });
+    this->after(recovered + calm_work, [this] {
+        this->drain_upstream();
+        this->change_configuration();
+    });
     this->after(recovered + recovered_time, [this] { this->is_ending = true; });
     this->after(recovered + recovered_time + last_answers, [this] { this->context.stop(); });
     this->watch_processes();
--- a/tools/soak/soak_troubles.cpp
+++ b/tools/soak/soak_troubles.cpp
@@ -137,7 +137,7 @@
 
 void soak_run::plan_work()
 {
-    if (this->is_over) {
+    if (this->is_ending) {
         return;
     }
     switch (this->draw(4)) {
