Pass over an upstream that refused for want of room until it had time to end work

A refusal changed only the share of failures, so the next request of the object went there again, was refused again, and the shared retry budget ran out while the third upstream of the service idled. Ruled out: callers' spread (two upstreams had all the objects), ejection (none). Now a refusal marks the upstream as full until it answers or 200 ms passed; the object's next choice takes the request. New test failed first (the third request went to the full upstream again).

--- a/src/placement/placement_types.h
+++ b/src/placement/placement_types.h
@@ -27,7 +27,10 @@
     std::chrono::milliseconds health_memory{4000}; //!< half of what went wrong is forgotten in this time
     std::chrono::milliseconds min_ejection{300};
     std::chrono::milliseconds max_ejection{3000};
-    int failures_to_eject = 3;           //!< in a row; an address that refuses connections is ejected at once
+    int failures_to_eject = 3; //!< in a row; an address that refuses connections is ejected at once
+    //! An upstream that refused a request for want of room counts as full for so long, or until it answers:
+    //! about the time in which one of a few slots comes free.
+    std::chrono::milliseconds full_memory{200};
     std::size_t objects_remembered = 64; //!< by upstream, as handled there lately
 };
 
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -167,6 +167,39 @@
     CHECK(used.size() > 2);
 }
 
+TEST_CASE(
+    "[GIVEN] an upstream that refused for want of room [WHEN] its object comes again [THEN] another has it",
+    "[placement][pattern: few objects, upstreams that do not queue]")
+{
+    const auto roster = make_roster(3);
+    const placement_configuration configuration;
+    upstream_picker picker(instance_id("i1"), here, configuration);
+    const auto request = request_for(7);
+    const time_point start{};
+    const auto running = send(picker, roster, start, request);
+    const auto first = send(picker, roster, start, request);
+    REQUIRE(first.upstream == running.upstream);
+    picker.on_finished(start, request, first, send_result::rejected, milliseconds(1));
+    const auto second = send(picker, roster, start, request);
+    CHECK(second.upstream != first.upstream);
+    picker.on_finished(start, request, second, send_result::rejected, milliseconds(1));
+    const auto third = send(picker, roster, start, request);
+    CHECK(third.has_room);
+    CHECK(third.upstream != first.upstream);
+    CHECK(third.upstream != second.upstream);
+
+    SECTION("until it had time to end some work")
+    {
+        const auto later = start + configuration.full_memory;
+        CHECK(picker.pick(later, roster, request).upstream == first.upstream);
+    }
+    SECTION("until it answers")
+    {
+        picker.on_finished(start, request, running, send_result::answered, milliseconds(40));
+        CHECK(picker.pick(start, roster, request).upstream == first.upstream);
+    }
+}
+
 TEST_CASE("[GIVEN] load that others put on an upstream [WHEN] its report ages [THEN] it counts less and less",
           "[placement]")
 {
--- a/src/placement/upstream_load.cpp
+++ b/src/placement/upstream_load.cpp
@@ -65,9 +65,12 @@
         this->slow_factor = slow_now + (ratio - slow_now) * judging_rate;
         this->failures_in_a_row = 0;
         this->ejections_in_a_row = 0;
+        this->full_until = {};
         return;
     }
-    if (result == send_result::unreachable) {
+    if (result == send_result::rejected) {
+        this->full_until = now + this->configuration->full_memory;
+    } else if (result == send_result::unreachable) {
         this->note_failure(now, true);
     } else if (result == send_result::broken || result == send_result::silent) {
         this->note_failure(now, false);
--- a/src/placement/upstream_load.h
+++ b/src/placement/upstream_load.h
@@ -29,6 +29,8 @@
     double estimate(time_point now) const;
     std::int64_t own() const { return this->in_flight; }
     bool is_ejected(time_point now) const;
+    //! It refused a request for want of room and has answered none since.
+    bool is_full(time_point now) const { return now < this->full_until; }
     //! Time taken over time expected, lately; 1 when nothing is known.
     double slowness(time_point now) const;
     //! Share of requests that went wrong, lately.
@@ -50,6 +52,7 @@
     int failures_in_a_row = 0;
     int ejections_in_a_row = 0;
     time_point ejected_until{};
+    time_point full_until{};
     std::list<object_hash> recent_objects; //!< the latest first
     std::unordered_map<object_hash, std::list<object_hash>::iterator> known_objects;
 };
--- a/src/placement/upstream_picker.cpp
+++ b/src/placement/upstream_picker.cpp
@@ -96,7 +96,7 @@
     choice.expected = choice.work + scaled(known.warm(), queue_ahead * load.slowness(now)) +
                       this->round_trip(entry.where) +
                       scaled(choice.work, cost_of_failure * load.failure_share(now));
-    choice.has_room = present < slots * this->load_limit(request.rank);
+    choice.has_room = !load.is_full(now) && present < slots * this->load_limit(request.rank);
     return choice;
 }
 
