Let an unexpected error end its handler and not the process

Report of other operators: one unexpected error takes a process down. It could here: an exception that escaped from any handler left io_context::run and ended the thread, and with it the process. Contexts of both daemons now run guarded: the exception is logged and the others go on. A periodic timer whose work failed would not have been set again; it is now.

--- a/src/daemon/daemon_module.cpp
+++ b/src/daemon/daemon_module.cpp
@@ -14,6 +14,7 @@
 #include "daemon/request_engine.h"
 #include "daemon/request_metrics.h"
 #include "global/bounded_ring.h"
+#include "global/guarded_run.h"
 #include "global/log.h"
 #include "global/random_source.h"
 #include "operations/operations_duty.h"
@@ -126,10 +127,10 @@
     parts.await_signal();
     parts.engine.start();
     parts.watcher.start();
-    std::thread request_thread([&parts] { parts.request_context.run(); });
-    std::thread store_thread([&parts] { parts.store_context.run(); });
+    std::thread request_thread([&parts] { run_guarded(parts.request_context, "requests"); });
+    std::thread store_thread([&parts] { run_guarded(parts.store_context, "platform"); });
     parts.operators.start();
-    parts.main_context.run();
+    run_guarded(parts.main_context, "daemon");
     parts.request_context.stop();
     parts.store_context.stop();
     request_thread.join();
--- a/src/gateway/gateway_module.cpp
+++ b/src/gateway/gateway_module.cpp
@@ -14,6 +14,7 @@
 #include "gateway/news_codec.h"
 #include "global/bounded_ring.h"
 #include "global/error.h"
+#include "global/guarded_run.h"
 #include "global/log.h"
 #include "global/periodic_timer.h"
 #include "global/random_source.h"
@@ -152,10 +153,10 @@
     parts.engine.start();
     parts.watcher.start();
     parts.watcher.publish_instance(self.id.str(), encode_registration(self));
-    std::thread request_thread([&parts] { parts.request_context.run(); });
-    std::thread store_thread([&parts] { parts.store_context.run(); });
+    std::thread request_thread([&parts] { run_guarded(parts.request_context, "requests"); });
+    std::thread store_thread([&parts] { run_guarded(parts.store_context, "store"); });
     parts.operators.start();
-    parts.main_context.run();
+    run_guarded(parts.main_context, "gateway");
     parts.request_context.stop();
     parts.store_context.stop();
     request_thread.join();
--- /dev/null
+++ b/src/global/guarded_run.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string_view>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace buckthornhill {
+//! Runs the context until it is stopped or out of work. An exception that escapes from a handler ends that
+//! handler alone: it is logged for `part`, and the others go on.
+void run_guarded(boost::asio::io_context& context, std::string_view part);
+} // namespace buckthornhill
--- a/src/global/periodic_timer.cpp
+++ b/src/global/periodic_timer.cpp
@@ -20,13 +20,23 @@
             if (failure || self->is_stopped) {
                 return;
             }
-            self->hook();
-            if (!self->is_stopped) {
-                self->schedule();
+            try {
+                self->hook();
+            } catch (...) {
+                self->schedule_next();
+                throw;
             }
+            self->schedule_next();
         });
     }
 
+    void schedule_next()
+    {
+        if (!this->is_stopped) {
+            this->schedule();
+        }
+    }
+
     boost::asio::steady_timer timer;
     duration interval;
     std::function<void()> hook;
