Run repeatable requests of one connection beside each other; notice who leaves

Cause: a session read the next request only when the last was answered, so a client that sent four in a row waited for the sum, and the watch for a close saw the next request's bytes and nothing more, so work went on for clients that had left. Now a session reads on while requests are in progress (bound: 8 requests, 1 MB). request_pipeline, without socket or clock, says which may run: repeatable ones beside each other, every other one when it is the first. Answers leave in the order of the requests; during a planned stop the connection closes behind the last request that was started, and what stands behind it was not started. Deadlines and objectives count from when the request came. A connection is closed after its client's end was read, so unread bytes do not reset it under the last answer; a stopping instance waits for answers that are still being sent. An exception of a request's handler ends that request with 500.

--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -67,6 +67,8 @@
     this->callers = std::make_unique<http::http_server>(
         context, wanted.callers, caller_limits_of(wanted, {}),
         [this](const http::exchange_ptr& exchange) { this->on_caller(exchange); });
+    this->callers->on_overlap(
+        [this](const http::http_request& request) { return this->may_repeat(request); });
     http::server_limits small;
     small.max_connections = max_lookup_connections;
     this->lookups = std::make_unique<http::http_server>(
@@ -248,6 +250,13 @@
     exchange->respond(this->dialect.write_lookup(addresses, this->settings.usable_lookup_ttl()));
 }
 
+bool gateway_engine::may_repeat(const http::http_request& request) const
+{
+    const auto* route =
+        this->core.routes().find(host_of(request), std::string(http::path_of(request.target)));
+    return route != nullptr && route->repeats == routing::repeat_rule::repeatable;
+}
+
 void gateway_engine::on_caller(const http::exchange_ptr& exchange)
 {
     const auto time = now();
@@ -259,12 +268,12 @@
         exchange->respond(http::text_response(status_malformed, failure.what()));
         return;
     }
-    const auto facts = facts_of(exchange->request(), terms, flow, time);
+    const auto facts = facts_of(exchange->request(), terms, flow, exchange->received_at());
     gateway_flow io;
     io.exchange = exchange;
     io.request_id = std::move(terms.request_id);
     io.object = std::move(terms.object);
-    io.arrived_at = time;
+    io.arrived_at = exchange->received_at();
     if (const auto* route = this->core.routes().find(facts.host, facts.path)) {
         io.route = route->name;
     }
@@ -428,7 +437,7 @@
 
 void gateway_engine::advance_leave(time_point time)
 {
-    if (this->leave.is_over(time, !this->flows.empty())) {
+    if (this->leave.is_over(time, !this->flows.empty() || !this->callers->is_idle())) {
         this->timer->stop();
         this->callers->stop_accepting();
         this->callbacks.on_stopped();
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -63,6 +63,8 @@
     std::string status() const;
 
 private:
+    //! It may run beside others of its connection.
+    bool may_repeat(const http::http_request& request) const;
     void on_caller(const http::exchange_ptr& exchange);
     void on_lookup(const http::exchange_ptr& exchange);
     void on_readiness(const http::exchange_ptr& exchange);
--- a/src/gateway/gateway_translation.cpp
+++ b/src/gateway/gateway_translation.cpp
@@ -8,6 +8,7 @@
 constexpr std::size_t descriptors_for_others = 300;          //!< peers, upstreams, the store, look-ups
 constexpr std::chrono::milliseconds default_time_left{5000}; //!< when the caller does not say
 constexpr unsigned first_server_failure_status = 500;
+} // namespace
 
 std::string host_of(const http::http_request& request)
 {
@@ -15,10 +16,8 @@
     return std::string(host.substr(0, host.find(':')));
 }
 
-} // namespace
-
 proxy::request_facts facts_of(const http::http_request& request, const caller_terms& terms, flow_id flow,
-                              time_point now)
+                              time_point arrived_at)
 {
     proxy::request_facts facts;
     facts.flow = flow;
@@ -27,7 +26,8 @@
     facts.has_object = !terms.object.empty();
     facts.object = placement::object_hash(facts.has_object ? hash_text(terms.object, hash_text(facts.host))
                                                            : hash_text(terms.request_id));
-    facts.deadline = now + terms.time_left.value_or(default_time_left);
+    facts.arrived_at = arrived_at;
+    facts.deadline = arrived_at + terms.time_left.value_or(default_time_left);
     return facts;
 }
 
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -54,6 +54,10 @@
         5000}; //!< from the first byte of a request to the end of its head
     std::chrono::milliseconds body_timeout{30000}; //!< for the rest of a request, and for a whole answer
     std::chrono::milliseconds idle_timeout{60000};
+    //! Requests of one connection that are read before the first of them is answered: twice what browsers
+    //! sent in a row.
+    std::size_t max_requests_in_row = 8;
+    std::size_t max_row_bytes = 1024UL * 1024; //!< of those requests and of answers that wait for their turn
 };
 
 struct client_limits
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http/http_server.h"
 
+#include <algorithm>
+
 #include <boost/asio/io_context.hpp>
 
 #include "global/periodic_timer.h"
@@ -21,8 +23,8 @@
                    request_handler handler)
         : context(io)
         , acceptor(io)
-        , shared(
-              std::make_shared<session_context>(session_context{limits, std::move(handler), nullptr, false}))
+        , shared(std::make_shared<session_context>(
+              session_context{limits, std::move(handler), nullptr, nullptr, false}))
     {
         try {
             const tcp::endpoint local(asio::ip::make_address(bind_to.address), bind_to.port);
@@ -50,6 +52,11 @@
     void announce_close() { this->shared->is_closing = true; }
     void set_limits(const server_limits& limits) { this->shared->limits = limits; }
     void on_rejection(rejection_hook hook) { this->shared->on_rejection = std::move(hook); }
+    void on_overlap(overlap_hook hook) { this->shared->may_overlap = std::move(hook); }
+    bool is_idle() const
+    {
+        return std::ranges::all_of(this->sessions, [](const http_session& one) { return one.is_idle(); });
+    }
 
     void stop_accepting()
     {
@@ -81,10 +88,10 @@
                 if (failure == asio::error::operation_aborted || !self->acceptor.is_open()) {
                     return;
                 }
+                self->accept();
                 if (!failure) {
                     self->admit(std::move(socket));
                 }
-                self->accept();
             });
     }
 
@@ -116,7 +123,7 @@
             const boost::intrusive_ptr<http_session> session(&*position);
             ++position;
             if (session->is_expired(now)) {
-                session->expire();
+                session->expire(now);
             }
         }
     }
@@ -161,6 +168,16 @@
     this->state->on_rejection(std::move(hook));
 }
 
+void http_server::on_overlap(overlap_hook hook)
+{
+    this->state->on_overlap(std::move(hook));
+}
+
+bool http_server::is_idle() const
+{
+    return this->state->is_idle();
+}
+
 void http_server::stop_accepting()
 {
     this->state->stop_accepting();
--- a/src/http/internal/http_session.cpp
+++ b/src/http/internal/http_session.cpp
@@ -3,15 +3,27 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 
+#include "global/log.h"
+#include "http/http_responses.h"
+
 namespace buckthornhill::http {
 namespace beast_http = boost::beast::http;
 
 namespace {
 constexpr unsigned status_malformed = 400;
+constexpr unsigned status_timeout = 408;
 constexpr unsigned status_body_too_large = 413;
 constexpr unsigned status_headers_too_large = 431;
+constexpr unsigned status_internal_error = 500;
 constexpr unsigned http_version_1_1 = 11;
 constexpr std::size_t read_chunk_bytes = 8UL * 1024;
+//! Unread bytes at a close would reset the connection, and the client might lose the last answer.
+constexpr std::chrono::milliseconds linger_time{2000};
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
 } // namespace
 
 http_session::http_session(boost::asio::ip::tcp::socket connected, std::shared_ptr<session_context> shared)
@@ -20,64 +32,146 @@
 {
     boost::system::error_code ignored;
     this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    this->buffer.reserve(read_chunk_bytes);
+    this->socket.non_blocking(true, ignored);
 }
 
 void http_session::start()
 {
-    this->await_request();
+    this->begin_request();
+    this->read_on();
 }
 
-void http_session::await_request()
+void http_session::begin_request()
 {
+    const auto& limits = this->context->limits;
     this->parser.emplace();
-    this->parser->header_limit(static_cast<std::uint32_t>(this->context->limits.max_header_bytes));
-    this->parser->body_limit(this->context->limits.max_body_bytes);
-    this->step = this->buffer.size() > 0 ? phase::reading : phase::idle;
-    const auto wait =
-        this->buffer.size() > 0 ? this->context->limits.header_timeout : this->context->limits.idle_timeout;
-    this->deadline = std::chrono::steady_clock::now() + wait;
-    if (this->buffer.size() > 0) {
-        this->read_header();
+    this->parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+    this->parser->body_limit(limits.max_body_bytes);
+    this->pipeline.set_bounds({limits.max_requests_in_row, limits.max_row_bytes});
+    this->is_partial = false;
+    this->is_header_done = false;
+    this->owes_continue = false;
+    this->read_until = this->is_idle() ? now() + limits.idle_timeout : time_point::max();
+}
+
+void http_session::read_on()
+{
+    //! NOTE Reading goes on while nothing is parsed, since only a read notices that the client has left.
+    const bool is_full = this->buffer.size() >= this->context->limits.max_header_bytes + read_chunk_bytes;
+    if (this->is_waiting || is_full || this->has_client_ended || !this->socket.is_open()) {
         return;
     }
-    //! NOTE The wait for the first byte keeps idle connections apart from slow senders.
+    this->is_waiting = true;
+    //! NOTE No memory is tied up in the reads of idle connections.
     this->socket.async_wait(boost::asio::socket_base::wait_read,
                             [self = pointer(this)](const boost::system::error_code& failure) {
-                                if (failure) {
-                                    self->close();
-                                    return;
-                                }
-                                self->step = phase::reading;
-                                self->deadline =
-                                    std::chrono::steady_clock::now() + self->context->limits.header_timeout;
-                                self->read_header();
+                                self->is_waiting = false;
+                                self->on_readable(failure);
                             });
 }
 
-void http_session::read_header()
+void http_session::on_readable(const boost::system::error_code& wait_failure)
 {
-    beast_http::async_read_header(this->socket, this->buffer, *this->parser,
-                                  [self = pointer(this)](const boost::system::error_code& failure,
-                                                         std::size_t) { self->on_header(failure); });
+    boost::system::error_code failure = wait_failure;
+    std::size_t size = 0;
+    if (!failure) {
+        size = this->socket.read_some(this->buffer.prepare(read_chunk_bytes), failure);
+    }
+    if (failure == boost::asio::error::would_block) {
+        this->read_on();
+        return;
+    }
+    if (failure == boost::asio::error::eof && !this->is_lingering) {
+        this->on_client_end();
+        return;
+    }
+    if (failure) {
+        this->close();
+        return;
+    }
+    if (this->is_lingering) {
+        this->read_on();
+        return;
+    }
+    this->buffer.commit(size);
+    this->advance();
 }
 
-void http_session::on_header(const boost::system::error_code& failure)
+void http_session::on_client_end()
 {
-    if (this->has_rejected(failure)) {
-        return;
+    const pointer keep(this);
+    this->has_client_ended = true;
+    this->read_until = time_point::max();
+    this->cancel_unanswered();
+    //! NOTE A request that may run once goes on, and its answer is for a client that reads on.
+    if (this->pipeline.unanswered().empty() && !this->is_writing) {
+        this->close();
+    }
+}
+
+void http_session::cancel_unanswered()
+{
+    const auto waiting = this->pipeline.unanswered();
+    const std::vector<exchange_ptr> cancelled(waiting.begin(), waiting.end());
+    for (const auto& exchange : cancelled) {
+        exchange->notify_cancelled();
     }
+}
+
+void http_session::parse()
+{
+    while (this->buffer.size() > 0 && this->parse_step()) {
+    }
+}
+
+bool http_session::parse_step()
+{
+    if (!this->pipeline.has_room() || this->owes_continue || this->is_lingering) {
+        return false;
+    }
+    if (!this->is_partial) {
+        this->is_partial = true;
+        this->received_at = now();
+        this->read_until = this->received_at + this->context->limits.header_timeout;
+    }
+    this->parser->eager(this->is_header_done);
+    boost::system::error_code failure;
+    const auto used = this->parser->put(this->buffer.data(), failure);
+    this->buffer.consume(used);
+    const bool needs_more = failure == beast_http::error::need_more || (!failure && used == 0);
+    if (failure && !needs_more) {
+        this->on_parse_error(failure);
+        return false;
+    }
+    if (!this->is_header_done && this->parser->is_header_done()) {
+        this->on_header();
+        return true;
+    }
+    if (this->parser->is_done()) {
+        this->on_message();
+        return true;
+    }
+    if (needs_more && this->buffer.size() > this->context->limits.max_header_bytes) {
+        this->on_parse_error(beast_http::error::header_limit);
+    }
+    return !needs_more;
+}
+
+void http_session::on_header()
+{
+    this->is_header_done = true;
     const auto fault = this->fault_in_headers();
     if (!fault.empty()) {
         this->reject(status_malformed, fault);
         return;
     }
-    const auto& expect = this->parser->get()[beast_http::field::expect];
-    if (!this->parser->is_done() && boost::beast::iequals(expect, "100-continue")) {
-        this->send_continue();
+    if (this->parser->is_done()) {
+        this->on_message();
         return;
     }
-    this->read_body();
+    this->read_until = now() + this->context->limits.body_timeout;
+    const auto& expect = this->parser->get()[beast_http::field::expect];
+    this->owes_continue = boost::beast::iequals(expect, "100-continue");
 }
 
 std::string_view http_session::fault_in_headers() const
@@ -102,107 +196,64 @@
 void http_session::send_continue()
 {
     static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    this->owes_continue = false;
+    this->is_writing = true;
     boost::asio::async_write(this->socket, boost::asio::buffer(interim),
                              [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
+                                 self->is_writing = false;
                                  if (failure) {
                                      self->close();
                                      return;
                                  }
-                                 self->read_body();
+                                 self->advance();
                              });
 }
 
-void http_session::read_body()
-{
-    if (this->parser->is_done()) {
-        this->dispatch();
-        return;
-    }
-    this->deadline = std::chrono::steady_clock::now() + this->context->limits.body_timeout;
-    beast_http::async_read(this->socket, this->buffer, *this->parser,
-                           [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
-                               if (!self->has_rejected(failure)) {
-                                   self->dispatch();
-                               }
-                           });
-}
-
-bool http_session::has_rejected(const boost::system::error_code& failure)
+void http_session::on_parse_error(const boost::system::error_code& failure)
 {
-    if (!failure) {
-        return false;
-    }
-    if (this->step != phase::reading) {
-        return true;
-    }
     if (failure == beast_http::error::body_limit) {
         this->reject(status_body_too_large, "request body is larger than this listener accepts");
     } else if (failure == beast_http::error::header_limit || failure == beast_http::error::buffer_overflow) {
         this->reject(status_headers_too_large, "request headers are larger than this listener accepts");
-    } else if (failure.category() == beast_http::make_error_code(beast_http::error::bad_method).category() &&
-               failure != beast_http::error::end_of_stream && failure != beast_http::error::partial_message) {
-        this->reject(status_malformed, "malformed request: " + failure.message());
     } else {
-        this->close();
+        this->reject(status_malformed, "malformed request: " + failure.message());
     }
-    return true;
 }
 
-void http_session::dispatch()
+void http_session::on_message()
 {
-    http_request request;
-    request.headers = this->received_headers();
+    request_pipeline::arrival arrived;
+    arrived.request.headers = this->received_headers();
     auto message = this->parser->release();
-    this->keep_alive = message.keep_alive() && !this->context->is_closing;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.body = std::move(message.body());
-    this->step = phase::waiting;
-    this->deadline = std::chrono::steady_clock::time_point::max();
-    const exchange_ptr exchange(new http_exchange(pointer(this), std::move(request)));
-    this->current = exchange.get();
-    this->context->handler(exchange);
-    if (this->current != nullptr) {
-        this->watch_for_close();
-    }
-}
-
-void http_session::watch_for_close()
-{
-    this->socket.async_wait(boost::asio::socket_base::wait_read,
-                            [self = pointer(this)](const boost::system::error_code& failure) {
-                                if (failure || self->current == nullptr) {
-                                    return;
-                                }
-                                char byte = 0;
-                                boost::system::error_code status;
-                                self->socket.non_blocking(true, status);
-                                self->socket.receive(boost::asio::buffer(&byte, 1),
-                                                     boost::asio::socket_base::message_peek, status);
-                                if (status && status != boost::asio::error::would_block &&
-                                    self->current != nullptr) {
-                                    self->current->notify_cancelled();
-                                }
-                            });
+    arrived.keeps_alive = message.keep_alive();
+    arrived.request.method = std::string(message.method_string());
+    arrived.request.target = std::string(message.target());
+    arrived.request.body = std::move(message.body());
+    arrived.received_at = this->received_at;
+    arrived.may_overlap = arrived.request.body.empty() && this->context->may_overlap &&
+                          this->context->may_overlap(arrived.request);
+    this->pipeline.add(std::move(arrived));
+    this->begin_request();
 }
 
 void http_session::reject(unsigned status, std::string_view reason)
 {
-    this->keep_alive = false;
     http_response response;
     response.status = status;
     response.headers.emplace_back("Content-Type", "text/plain");
     response.body = std::string(reason) + "\n";
     if (this->context->on_rejection) {
         //! NOTE All headers have been read when the body turns out to be too large.
-        if (status == status_body_too_large || this->parser->is_header_done()) {
+        if (status == status_body_too_large || this->is_header_done) {
             const auto headers = this->received_headers();
             this->context->on_rejection(response, &headers);
         } else {
             this->context->on_rejection(response, nullptr);
         }
     }
-    this->write(std::move(response));
+    this->is_partial = false;
+    this->read_until = time_point::max();
+    this->pipeline.add_last_answer(std::move(response));
 }
 
 header_list http_session::received_headers() const
@@ -214,17 +265,84 @@
     return headers;
 }
 
-void http_session::write(http_response response)
+void http_session::advance()
+{
+    if (this->is_advancing) {
+        return;
+    }
+    const pointer keep(this);
+    this->is_advancing = true;
+    this->parse();
+    this->start_requests();
+    this->write_next();
+    this->is_advancing = false;
+    this->read_on();
+}
+
+void http_session::start_requests()
+{
+    while (!this->has_client_ended) {
+        auto next = this->pipeline.take_start();
+        if (!next) {
+            return;
+        }
+        this->start(std::move(*next));
+    }
+}
+
+void http_session::start(request_pipeline::start next)
+{
+    const exchange_ptr exchange(
+        new http_exchange(pointer(this), next.ticket, std::move(next.request), next.received_at));
+    this->pipeline.bind(next.ticket, exchange.get());
+    try {
+        this->context->handler(exchange);
+    } catch (const std::exception& failure) {
+        log::event("http", "handler_failed",
+                   {{"target", exchange->request().target}, {"detail", failure.what()}});
+        exchange->respond(text_response(status_internal_error, "the request could not be handled"));
+    }
+}
+
+void http_session::on_abandoned(request_ticket ticket)
+{
+    this->pipeline.bind(ticket, nullptr);
+    this->close();
+}
+
+void http_session::on_answer(request_ticket ticket, http_response response)
+{
+    if (!this->pipeline.answer(ticket, std::move(response)) || !this->socket.is_open()) {
+        return;
+    }
+    if (this->is_advancing) {
+        return;
+    }
+    this->write_next();
+}
+
+void http_session::write_next()
 {
-    this->step = phase::writing;
-    this->deadline = std::chrono::steady_clock::now() + this->context->limits.body_timeout;
+    if (this->is_writing || !this->socket.is_open()) {
+        return;
+    }
+    if (this->owes_continue && this->pipeline.is_empty()) {
+        this->send_continue();
+        return;
+    }
+    auto next = this->pipeline.take_answer(this->context->is_closing);
+    if (!next) {
+        return;
+    }
+    this->is_writing = true;
+    this->write_until = now() + this->context->limits.body_timeout;
     auto& message = this->outgoing.emplace();
-    message.result(response.status);
-    for (const auto& [name, value] : response.headers) {
+    message.result(next->response.status);
+    for (const auto& [name, value] : next->response.headers) {
         message.insert(name, value);
     }
-    message.body() = std::move(response.body);
-    message.keep_alive(this->keep_alive && !this->context->is_closing);
+    message.body() = std::move(next->response.body);
+    message.keep_alive(!next->closes);
     message.prepare_payload();
     beast_http::async_write(this->socket, message,
                             [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
@@ -234,22 +352,40 @@
 
 void http_session::on_written(const boost::system::error_code& failure)
 {
-    const bool close_now = failure || !this->outgoing || !this->outgoing->keep_alive();
+    const bool is_last = this->outgoing && !this->outgoing->keep_alive();
     this->outgoing.reset();
-    if (close_now) {
+    this->is_writing = false;
+    this->write_until = time_point::max();
+    const bool is_left = this->has_client_ended && this->pipeline.unanswered().empty();
+    if (failure || is_left || !this->socket.is_open()) {
         this->close();
         return;
     }
-    this->await_request();
+    if (is_last) {
+        this->linger();
+        return;
+    }
+    if (!this->is_partial && this->is_idle()) {
+        this->read_until = now() + this->context->limits.idle_timeout;
+    }
+    this->advance();
+}
+
+void http_session::linger()
+{
+    boost::system::error_code ignored;
+    this->is_lingering = true;
+    this->read_until = now() + linger_time;
+    this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    this->buffer.clear();
+    this->read_on();
 }
 
-void http_session::expire()
+void http_session::expire(time_point at)
 {
-    if (this->step == phase::reading) {
-        //! NOTE Cancelling ends the pending read; the 408 goes out before the close.
-        boost::system::error_code ignored;
-        this->socket.cancel(ignored);
-        this->reject(408, "the request did not arrive in time");
+    if (this->is_partial && at < this->write_until) {
+        this->reject(status_timeout, "the request did not arrive in time");
+        this->advance();
         return;
     }
     this->close();
@@ -257,28 +393,30 @@
 
 void http_session::close()
 {
+    const pointer keep(this);
     boost::system::error_code ignored;
     this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     this->socket.close(ignored);
     if (this->is_linked()) {
         this->unlink();
     }
-    if (this->current != nullptr) {
-        this->current->notify_cancelled();
-    }
+    this->cancel_unanswered();
+    this->pipeline.clear();
 }
 
-http_exchange::http_exchange(boost::intrusive_ptr<http_session> owner, http_request request)
+http_exchange::http_exchange(boost::intrusive_ptr<http_session> owner, request_ticket own,
+                             http_request request, time_point arrival)
     : session(std::move(owner))
+    , ticket(own)
     , message(std::move(request))
+    , arrived_at(arrival)
 {
 }
 
 http_exchange::~http_exchange()
 {
-    if (!this->is_answered && this->session->current == this) {
-        this->session->current = nullptr;
-        this->session->close();
+    if (!this->is_answered) {
+        this->session->on_abandoned(this->ticket);
     }
 }
 
@@ -288,14 +426,8 @@
         return;
     }
     this->is_answered = true;
-    if (this->session->current != this) {
-        return;
-    }
-    this->session->current = nullptr;
     this->cancelled = nullptr;
-    if (this->session->socket.is_open()) {
-        this->session->write(std::move(response));
-    }
+    this->session->on_answer(this->ticket, std::move(response));
 }
 
 void http_exchange::notify_cancelled()
--- a/src/http/internal/http_session.h
+++ b/src/http/internal/http_session.h
@@ -12,6 +12,7 @@
 
 #include "http/http_exchange.h"
 #include "http/http_server.h"
+#include "http/internal/request_pipeline.h"
 
 namespace buckthornhill::http {
 //! What all sessions of a listener share.
@@ -20,10 +21,12 @@
     server_limits limits;
     request_handler handler;
     rejection_hook on_rejection;
+    overlap_hook may_overlap;
     bool is_closing = false;
 };
 
-//! One accepted connection: reads a request, waits for its answer, writes it, and starts again.
+//! One accepted connection. It reads on while requests are in progress, so that requests in a row run beside
+//! each other where they may and a client that leaves is noticed at once.
 class http_session
     : public boost::intrusive_ref_counter<http_session, boost::thread_unsafe_counter>,
       public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
@@ -32,41 +35,60 @@
     http_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<session_context> context);
 
     void start();
-    void write(http_response response);
+    void on_answer(request_ticket ticket, http_response response);
+    //! The request will get no answer, so those behind it can get none either.
+    void on_abandoned(request_ticket ticket);
+    //! Closes the connection at once; requests in progress are cancelled.
     void close();
-    bool is_expired(std::chrono::steady_clock::time_point now) const { return now >= this->deadline; }
+    bool is_expired(time_point now) const { return now >= this->read_until || now >= this->write_until; }
     //! Closes the connection; a request that was not whole yet is answered with 408 first.
-    void expire();
+    void expire(time_point now);
+    //! Neither a request nor an answer is in progress.
+    bool is_idle() const { return this->pipeline.is_empty() && !this->is_writing; }
 
 private:
     using pointer = boost::intrusive_ptr<http_session>;
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
-    enum class phase { idle, reading, waiting, writing };
 
-    void await_request();
-    void read_header();
-    void on_header(const boost::system::error_code& failure);
+    void begin_request();
+    void read_on();
+    void on_readable(const boost::system::error_code& failure);
+    void on_client_end();
+    void parse();
+    //! Takes in what is buffered; false when more bytes are needed, or none are wanted now.
+    bool parse_step();
+    void on_header();
     void send_continue();
-    void read_body();
+    void on_parse_error(const boost::system::error_code& failure);
+    void on_message();
     //! Why the headers make the request unsafe to pass on, or an empty text.
     std::string_view fault_in_headers() const;
-    //! Answers or closes after a failed read; false when there was no failure.
-    bool has_rejected(const boost::system::error_code& failure);
     header_list received_headers() const;
-    void on_written(const boost::system::error_code& failure);
     void reject(unsigned status, std::string_view reason);
-    void dispatch();
-    void watch_for_close();
+    void advance();
+    void start_requests();
+    void start(request_pipeline::start next);
+    void cancel_unanswered();
+    void write_next();
+    void on_written(const boost::system::error_code& failure);
+    void linger();
 
     boost::asio::ip::tcp::socket socket;
     std::shared_ptr<session_context> context;
     boost::beast::flat_buffer buffer;
     std::optional<parser_type> parser;
+    request_pipeline pipeline;
     std::optional<boost::beast::http::response<boost::beast::http::string_body>> outgoing;
-    http_exchange* current = nullptr; //!< the exchange that waits for its answer; it holds this session
-    std::chrono::steady_clock::time_point deadline;
-    phase step = phase::idle;
-    bool keep_alive = true;
-    friend class http_exchange;
+    time_point received_at{};                  //!< first byte of the request that is being read
+    time_point read_until = time_point::max(); //!< for the rest of a request, or for the next one
+    time_point write_until = time_point::max();
+    bool is_waiting = false; //!< for bytes from the client
+    bool is_writing = false;
+    bool is_partial = false;       //!< part of a request has been read
+    bool is_header_done = false;   //!< of the request that is being read
+    bool owes_continue = false;    //!< the client waits for 100 before it sends the body
+    bool is_advancing = false;     //!< guards against starts within starts
+    bool has_client_ended = false; //!< it sends nothing more, and may still read
+    bool is_lingering = false;     //!< the last answer is out; what still comes in is discarded
 };
 } // namespace buckthornhill::http
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -110,7 +110,7 @@
 {
     auto& flow = this->flows[facts.flow];
     flow.facts = facts;
-    flow.arrived_at = now;
+    flow.arrived_at = facts.arrived_at;
     if (!this->table.has_configuration()) {
         this->refuse(now, flow, refusal_reason::no_configuration);
         return;
--- a/src/proxy/proxy_types.h
+++ b/src/proxy/proxy_types.h
@@ -33,6 +33,7 @@
     std::string path; //!< without the query
     placement::object_hash object;
     bool has_object = false; //!< the caller named an object; else `object` only spreads requests
+    time_point arrived_at;   //!< which may be before its turn on a connection with others
     time_point deadline;     //!< the caller waits no longer
 };
 
--- a/src/proxy/tests/proxy_core_tests.cpp
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -66,6 +66,7 @@
         facts.path = path;
         facts.object = placement::object_hash(object);
         facts.has_object = true;
+        facts.arrived_at = this->now;
         facts.deadline = this->now + time_left;
         this->core.on_request(this->now, facts);
         return facts.flow;
