Bound what a server may send: heads, chunk extensions, trailers, skipped responses, memory

Each response now has a bound of bytes, each call one of responses that it skips, and all calls of a client share 64 MB, at which the largest response is given up. The call ends as broken, its connection is closed. Idle connections hold no buffer.

--- a/src/daemon/request_engine.cpp
+++ b/src/daemon/request_engine.cpp
@@ -50,8 +50,8 @@
     , burn({settings.availability_objective, settings.latency_objective})
     , timer(std::make_unique<periodic_timer>(io, tick_interval, [this] { this->on_tick(); }))
     , client(std::make_unique<http::http_client>(
-          io, http::client_limits{max_idle_connections, settings.caller_limits.max_body_bytes + (4U << 20),
-                                  std::chrono::seconds(30)}))
+          io, http::client_limits{.max_idle_per_endpoint = max_idle_connections,
+                                  .max_body_bytes = settings.caller_limits.max_body_bytes + (4U << 20)}))
 {
     this->callers = std::make_unique<http::http_server>(
         io, settings.caller_listen, settings.caller_limits,
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -48,6 +48,8 @@
     //! Closes the call's connection; its handler gets `cancelled`.
     void cancel(call_id call);
     void close();
+    //! Of responses that are being read.
+    std::size_t buffered_bytes() const;
 
 private:
     class implementation;
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -63,7 +63,12 @@
 struct client_limits
 {
     std::size_t max_idle_per_endpoint = 64;
+    std::size_t max_head_bytes = 16UL * 1024; //!< of a response; also of chunk extensions and trailers
     std::size_t max_body_bytes = 4UL * 1024 * 1024;
+    //! Responses before the one that is waited for: interim ones, and those that belong to no call.
+    int max_skipped_responses = 16;
+    //! Of responses that are being read, over all calls; beyond it the largest of them is given up.
+    std::size_t max_buffered_bytes = 64UL * 1024 * 1024;
     std::chrono::milliseconds idle_timeout{30000};
     std::chrono::milliseconds recent_idle{1000}; //!< see `connection_choice::recent`
     std::chrono::milliseconds connect_timeout{5000};
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -15,11 +15,12 @@
 } // namespace
 
 client_connection::client_connection(asio::io_context& context, endpoint server, const client_limits& bounds,
-                                     finished_hook hook)
+                                     hooks reactions)
     : socket(context)
     , remote(std::move(server))
     , limits(bounds)
-    , on_finished(std::move(hook))
+    , callbacks(std::move(reactions))
+    , buffer(bounds.max_head_bytes)
 {
 }
 
@@ -28,6 +29,7 @@
     this->terms = std::move(call_to_make);
     this->is_busy = true;
     this->was_sent = false;
+    this->skipped_responses = 0;
     auto& message = this->outgoing.emplace();
     message.method_string(request.method);
     message.target(request.target);
@@ -108,21 +110,62 @@
 void client_connection::read()
 {
     this->parser.emplace();
+    this->parser->header_limit(static_cast<std::uint32_t>(this->limits.max_head_bytes));
     this->parser->body_limit(this->limits.max_body_bytes);
     this->parser->skip(this->outgoing->method() == beast_http::verb::head);
-    beast_http::async_read(this->socket, this->buffer, *this->parser,
-                           [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
-                               if (!self->has_ended(failure)) {
-                                   self->on_response();
-                               }
-                           });
+    this->parser->eager(true);
+    this->response_bytes = 0;
+    this->read_some();
+}
+
+void client_connection::read_some()
+{
+    beast_http::async_read_some(
+        this->socket, this->buffer, *this->parser,
+        [self = pointer(this)](const boost::system::error_code& failure, std::size_t size) {
+            if (!self->has_ended(failure)) {
+                self->on_some(size);
+            }
+        });
+}
+
+void client_connection::on_some(std::size_t size)
+{
+    this->response_bytes += size;
+    if (this->parser->is_done()) {
+        this->on_response();
+        return;
+    }
+    //! NOTE Chunks may be wrapped in far more bytes than they hold.
+    if (this->response_bytes > 2 * (this->limits.max_body_bytes + this->limits.max_head_bytes)) {
+        this->give_up_on_response();
+        return;
+    }
+    this->callbacks.on_growth();
+    if (this->is_busy) {
+        this->read_some();
+    }
+}
+
+void client_connection::give_up_on_response()
+{
+    this->finish(call_status::broken, "the response is too large");
+}
+
+void client_connection::skip_response()
+{
+    if (++this->skipped_responses > this->limits.max_skipped_responses) {
+        this->finish(call_status::broken, "too many responses that belong to no call");
+        return;
+    }
+    this->read();
 }
 
 void client_connection::on_response()
 {
     auto message = this->parser->release();
     if (message.result_int() < first_final_status) {
-        this->read();
+        this->skip_response();
         return;
     }
     //! NOTE A body without a length ends with the connection, so a cut cannot be told from its end.
@@ -143,7 +186,7 @@
     if (this->terms.is_expected && !this->terms.is_expected(result.response)) {
         this->had_stray_response = true;
         if (has_length) {
-            this->read();
+            this->skip_response();
         } else {
             this->finish(call_status::broken, "the response belongs to another request");
         }
@@ -153,7 +196,8 @@
                              !this->had_stray_response && !this->is_writing;
     this->is_busy = false;
     this->became_idle = std::chrono::steady_clock::now();
-    this->on_finished(pointer(this), std::move(result), is_reusable);
+    this->buffer.shrink_to_fit();
+    this->callbacks.on_finished(pointer(this), std::move(result), is_reusable);
 }
 
 void client_connection::finish(call_status status, const std::string& detail)
@@ -165,7 +209,7 @@
     result.status = status;
     result.was_sent = this->was_sent;
     result.detail = detail;
-    this->on_finished(keep, std::move(result), false);
+    this->callbacks.on_finished(keep, std::move(result), false);
 }
 
 void client_connection::abandon(call_status status)
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -19,10 +19,15 @@
 {
 public:
     using pointer = boost::intrusive_ptr<client_connection>;
-    using finished_hook = std::function<void(const pointer&, call_result, bool is_reusable)>;
+    struct hooks
+    {
+        std::function<void(const pointer&, call_result, bool is_reusable)> on_finished;
+        //! More of the response is in memory than before.
+        std::function<void()> on_growth;
+    };
 
     client_connection(boost::asio::io_context& context, endpoint server, const client_limits& limits,
-                      finished_hook on_finished);
+                      hooks callbacks);
 
     void start(http_request request, call_terms call);
     //! Ends the call with `status` and closes the connection.
@@ -35,6 +40,10 @@
     time_point deadline() const;
     void set_deadline(time_point when) { this->terms.deadline = when; }
     time_point idle_since() const { return this->became_idle; }
+    //! Of the response that is being read.
+    std::size_t buffered_bytes() const { return this->is_busy ? this->response_bytes : 0; }
+    //! Ends the call as broken, since the response is too large to go on.
+    void give_up_on_response();
     void close();
 
     call_id call;
@@ -46,19 +55,25 @@
     void set_options();
     void write();
     void read();
+    void read_some();
+    void on_some(std::size_t size);
     void on_response();
+    //! Waits for the next response; the last one is not the answer.
+    void skip_response();
     void finish(call_status status, const std::string& detail);
 
     boost::asio::ip::tcp::socket socket;
     endpoint remote;
     client_limits limits;
-    finished_hook on_finished;
+    hooks callbacks;
     boost::beast::flat_buffer buffer;
     std::optional<boost::beast::http::request<boost::beast::http::string_body>> outgoing;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
     call_terms terms;
     time_point connect_until{};
     time_point became_idle{};
+    std::size_t response_bytes = 0; //!< received for the response that is being read
+    int skipped_responses = 0;      //!< during this call
     bool is_connected = false;
     bool had_stray_response = false;
     bool was_sent = false;
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -1,6 +1,8 @@
 #include "http/http_client.h"
 
+#include <algorithm>
 #include <map>
+#include <numeric>
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
@@ -71,6 +73,13 @@
         }
     }
 
+    std::size_t buffered_bytes() const
+    {
+        return std::accumulate(
+            this->busy.begin(), this->busy.end(), std::size_t{0},
+            [](std::size_t sum, const client_connection& one) { return sum + one.buffered_bytes(); });
+    }
+
     //! Apart from the constructor, since the timer must not keep this object alive.
     void start_sweeping()
     {
@@ -89,13 +98,28 @@
 
     client_connection::pointer make_connection(const endpoint& server)
     {
-        auto hook = [weak = this->weak_from_this()](const client_connection::pointer& connection,
-                                                    call_result result, bool is_reusable) {
+        client_connection::hooks hooks;
+        hooks.on_finished = [weak = this->weak_from_this()](const client_connection::pointer& connection,
+                                                            call_result result, bool is_reusable) {
             if (const auto self = weak.lock()) {
                 self->on_finished(connection, std::move(result), is_reusable);
             }
         };
-        return {new client_connection(this->context, server, this->limits, std::move(hook))};
+        hooks.on_growth = [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->bound_memory();
+            }
+        };
+        return {new client_connection(this->context, server, this->limits, std::move(hooks))};
+    }
+
+    void bound_memory()
+    {
+        while (this->buffered_bytes() > this->limits.max_buffered_bytes) {
+            const auto largest = std::ranges::max_element(this->busy, {}, &client_connection::buffered_bytes);
+            const client_connection::pointer connection(&*largest);
+            connection->give_up_on_response();
+        }
     }
 
     client_connection::pointer take_idle(const endpoint& server, connection_choice choice)
@@ -214,6 +238,11 @@
     this->state->cancel(call);
 }
 
+std::size_t http_client::buffered_bytes() const
+{
+    return this->state->buffered_bytes();
+}
+
 void http_client::close()
 {
     this->state->close();
--- a/src/http/tests/http_edge_tests.cpp
+++ b/src/http/tests/http_edge_tests.cpp
@@ -327,3 +327,100 @@
     REQUIRE(timer.starts_with("02:"));
     CHECK(std::stoul(timer.substr(3), nullptr, 16) <= 100);
 }
+
+namespace {
+//! Sends `head` once and then `more` again and again until the caller closes.
+std::function<void(tcp::socket&)> endless(std::string head, std::string more)
+{
+    return [head = std::move(head), more = std::move(more)](tcp::socket& socket) {
+        read_request(socket);
+        boost::system::error_code ended;
+        boost::asio::write(socket, boost::asio::buffer(head), ended);
+        while (!ended) {
+            boost::asio::write(socket, boost::asio::buffer(more), ended);
+        }
+    };
+}
+} // namespace
+
+TEST_CASE(
+    "[GIVEN] a server that sends bytes without end [WHEN] a call meets it [THEN] the call ends at a bound",
+    "[http][pattern: bytes without end]")
+{
+    const std::string kilobyte(1024, 'x');
+    struct stream
+    {
+        const char* name;
+        std::string head;
+        std::string more;
+    };
+    const auto kind = GENERATE_COPY(values<stream>({
+        {"a status line", "HTTP/1.1 200 ", kilobyte},
+        {"header lines", "HTTP/1.1 200 OK\r\n", "A: " + kilobyte + "\r\n"},
+        {"one header line", "HTTP/1.1 200 OK\r\nA: ", kilobyte},
+        {"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", kilobyte},
+        {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + kilobyte + "\r\n"},
+        {"a chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=", kilobyte},
+        {"tiny chunks with extensions", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "1;a=" + kilobyte + "\r\nx\r\n"},
+        {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + kilobyte + "\r\n"},
+        {"interim responses", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"responses to other requests", "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno"},
+    }));
+    INFO(kind.name);
+    scripted_server server(endless(kind.head, kind.more));
+    client_limits limits;
+    limits.max_body_bytes = 256UL * 1024;
+    auto terms = terms_for(std::chrono::seconds(20));
+    terms.accepts_unframed = true;
+    terms.is_expected = [](const http_response& response) {
+        return find_header(response.headers, "Id") != "other";
+    };
+    const auto started = std::chrono::steady_clock::now();
+    const auto result = call(server.address(), std::move(terms), limits);
+    CHECK(result.status == call_status::broken);
+    CHECK(result.was_sent);
+    CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(10));
+}
+
+TEST_CASE(
+    "[GIVEN] many bodies without end [WHEN] a sound answer comes too [THEN] it arrives, memory stays bounded",
+    "[http][pattern: bytes without end]")
+{
+    constexpr int streams = 40;
+    std::vector<std::unique_ptr<scripted_server>> servers;
+    const std::string much(64UL * 1024, 'x');
+    for (int i = 0; i < streams; ++i) {
+        servers.push_back(std::make_unique<scripted_server>(endless("HTTP/1.1 200 OK\r\n\r\n", much)));
+    }
+    boost::asio::io_context context;
+    client_limits limits;
+    limits.max_body_bytes = 8UL * 1024 * 1024;
+    limits.max_buffered_bytes = 4UL * 1024 * 1024;
+    http_client client(context, limits);
+    int broken = 0;
+    std::size_t most = 0;
+    for (const auto& server : servers) {
+        auto terms = terms_for(std::chrono::seconds(20));
+        terms.accepts_unframed = true;
+        client.send(server->address(), {}, std::move(terms), [&](const call_result& result) {
+            broken += result.status == call_status::broken ? 1 : 0;
+        });
+    }
+    scripted_server sound([](tcp::socket& socket) {
+        read_request(socket);
+        boost::asio::write(
+            socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+    });
+    call_result answer;
+    client.send(sound.address(), {}, terms_for(std::chrono::seconds(20)),
+                [&](call_result result) { answer = std::move(result); });
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while ((broken < streams || answer.response.body.empty()) && std::chrono::steady_clock::now() < limit) {
+        context.run_one();
+        most = std::max(most, client.buffered_bytes());
+    }
+    CHECK(broken == streams);
+    CHECK(answer.status == call_status::complete);
+    CHECK(most <= limits.max_buffered_bytes);
+}
--- a/tools/load/load_generator.cpp
+++ b/tools/load/load_generator.cpp
@@ -27,7 +27,9 @@
     : context(io)
     , plan(std::move(settings))
     , hook(std::move(results_hook))
-    , client(io, http::client_limits{max_idle_connections, 16U << 20, std::chrono::seconds(20)})
+    , client(io, http::client_limits{.max_idle_per_endpoint = max_idle_connections,
+                                     .max_body_bytes = 16U << 20,
+                                     .idle_timeout = std::chrono::seconds(20)})
     , random(this->plan.seed)
 {
 }
