Measure gateways that learn of a thousand upstreams

bth-bench gateway: eight gateways of one failure domain, 1,080 registrations at a stand-in of the store, then idle.

--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -3,11 +3,12 @@
 
 #include "control_bench.h"
 #include "decision_bench.h"
+#include "gateway_bench.h"
 #include "http_bench.h"
 #include "policy_bench.h"
 #include "region_bench.h"
 
-//! Usage: bth-bench decisions|sizes|http|policies|control|region.
+//! Usage: bth-bench decisions|sizes|http|policies|control|region|gateway.
 int main(int argc, char** argv)
 {
     const char* what = argc > 1 ? argv[1] : "";
@@ -23,8 +24,10 @@
         buckthornhill::bench::run_control_bench();
     } else if (std::strcmp(what, "region") == 0) {
         buckthornhill::bench::run_region_bench();
+    } else if (std::strcmp(what, "gateway") == 0) {
+        buckthornhill::bench::run_gateway_bench();
     } else {
-        std::cerr << "usage: bth-bench decisions|sizes|http|policies|control|region\n";
+        std::cerr << "usage: bth-bench decisions|sizes|http|policies|control|region|gateway\n";
         return 2;
     }
     return 0;
--- a/tools/soak/gateway_process.h
+++ b/tools/soak/gateway_process.h
@@ -42,6 +42,8 @@
     bool is_stopping() const { return this->was_asked_to_stop; }
     http::endpoint callers() const { return {this->place.address, callers_port}; }
     http::endpoint readiness() const { return {this->place.address, readiness_port}; }
+    //! Only while it is running.
+    pid_t pid() const { return this->process->pid(); }
     const std::string& name() const { return this->place.instance; }
 
 private:
