Let known upstreams cost nothing while nothing changes

Registrations one by one rebuilt the whole view each time; each remembered object kept the order of its whole service as text (2,048 x 624). Now: the roster looks again when a registration may lapse, the picker once a second, a client when a deadline passes; one registration changes its own place in the view; twelve upstreams are remembered of an object, and the rest is worked out when those are full. Tests: the view that changes one by one equals the listed one over 3,000 random changes; ranks of a large pool are bounded and in the same order; with all others full the last upstream gets the request.

--- a/src/fleet/tests/upstream_roster_tests.cpp
+++ b/src/fleet/tests/upstream_roster_tests.cpp
@@ -1,3 +1,5 @@
+#include <random>
+
 #include <catch2/catch.hpp>
 
 #include "fleet/upstream_roster.h"
@@ -120,3 +122,44 @@
     CHECK(roster.is_cold(now + milliseconds(2999), upstream_id("u1")));
     CHECK_FALSE(roster.is_cold(now + milliseconds(3000), upstream_id("u1")));
 }
+
+TEST_CASE(
+    "[GIVEN] upstreams that come and go one by one [WHEN] the whole list is read [THEN] both views agree",
+    "[fleet][pattern: a thousand upstreams register]")
+{
+    std::mt19937_64 random(7);
+    const time_point now{};
+    upstream_roster changing{roster_configuration{}};
+    std::map<std::string, upstream_entry> present;
+    for (int i = 0; i < 3000; ++i) {
+        auto entry = make_entry("u" + std::to_string(random() % 60), 1 + random() % 3);
+        entry.service = service_id(random() % 2 == 0 ? "orders" : "stock");
+        entry.where.domain = domain_id(random() % 2 == 0 ? "d" : "e");
+        const auto epoch = changing.epoch();
+        const auto before = changing.usable(entry.service);
+        switch (random() % 4) {
+        case 0:
+            changing.remove(now, entry.id, false);
+            present.erase(entry.id.str());
+            break;
+        case 1:
+            changing.set_evacuated(random() % 2 == 0 ? std::set{domain_id("e")} : std::set<domain_id>{});
+            break;
+        default:
+            changing.upsert(now, entry);
+            present[entry.id.str()] = entry;
+        }
+        CHECK((changing.epoch() != epoch || changing.usable(entry.service) == before));
+    }
+    changing.set_evacuated({domain_id("e")});
+    upstream_roster listed{roster_configuration{}};
+    listed.set_evacuated({domain_id("e")});
+    std::vector<upstream_entry> entries;
+    for (const auto& [id, entry] : present) {
+        entries.push_back(entry);
+    }
+    listed.replace_all(now, entries, false);
+    for (const auto* service : {"orders", "stock"}) {
+        CHECK(changing.usable(service_id(service)) == listed.usable(service_id(service)));
+    }
+}
--- a/src/fleet/upstream_roster.cpp
+++ b/src/fleet/upstream_roster.cpp
@@ -1,5 +1,7 @@
 #include "fleet/upstream_roster.h"
 
+#include <algorithm>
+
 namespace buckthornhill::fleet {
 namespace {
 //! Runs that left are remembered so that late news cannot bring them back; far more than a day brings.
@@ -30,8 +32,35 @@
 
 void upstream_roster::upsert(time_point now, const upstream_entry& entry)
 {
+    const auto before = this->service_in_use(entry.id);
     this->put(now, entry);
-    this->rebuild();
+    this->refresh(entry.id, before);
+}
+
+service_id upstream_roster::service_in_use(const upstream_id& id) const
+{
+    const auto* known = this->find_usable(id);
+    return known == nullptr ? service_id{} : known->entry.service;
+}
+
+void upstream_roster::refresh(const upstream_id& id, const service_id& before)
+{
+    const auto after = this->service_in_use(id);
+    if (before == after) {
+        return;
+    }
+    if (!before.empty()) {
+        auto& ids = this->by_service[before];
+        ids.erase(std::ranges::lower_bound(ids, id));
+        if (ids.empty()) {
+            this->by_service.erase(before);
+        }
+    }
+    if (!after.empty()) {
+        auto& ids = this->by_service[after];
+        ids.insert(std::ranges::lower_bound(ids, id), id);
+    }
+    ++this->view_epoch;
 }
 
 void upstream_roster::put(time_point now, const upstream_entry& entry)
@@ -68,6 +97,7 @@
         if (!upstream.may_only_have_lapsed) {
             upstream.may_only_have_lapsed = true;
             upstream.missing_until = now + this->configuration.lapse_grace;
+            this->next_lapse = std::min(this->next_lapse, upstream.missing_until);
         }
         return;
     }
@@ -76,8 +106,9 @@
 
 void upstream_roster::remove(time_point now, const upstream_id& id, bool after_outage)
 {
+    const auto before = this->service_in_use(id);
     this->drop(now, id, after_outage);
-    this->rebuild();
+    this->refresh(id, before);
 }
 
 void upstream_roster::set_evacuated(const std::set<domain_id>& domains)
@@ -92,15 +123,27 @@
 {
     const auto found = this->upstreams.find(id);
     if (found != this->upstreams.end() && !found->second.is_misdirected) {
+        const auto before = this->service_in_use(id);
         found->second.is_misdirected = true;
-        this->rebuild();
+        this->refresh(id, before);
     }
 }
 
 void upstream_roster::on_tick(time_point now)
 {
-    const auto dropped = std::erase_if(this->upstreams, [now](const auto& item) {
-        return item.second.may_only_have_lapsed && now >= item.second.missing_until;
+    if (now < this->next_lapse) {
+        return;
+    }
+    this->next_lapse = time_point::max();
+    const auto dropped = std::erase_if(this->upstreams, [this, now](const auto& item) {
+        if (!item.second.may_only_have_lapsed) {
+            return false;
+        }
+        const bool is_gone = now >= item.second.missing_until;
+        if (!is_gone) {
+            this->next_lapse = std::min(this->next_lapse, item.second.missing_until);
+        }
+        return is_gone;
     });
     if (dropped > 0) {
         this->rebuild();
--- a/src/fleet/upstream_roster.h
+++ b/src/fleet/upstream_roster.h
@@ -51,6 +51,10 @@
 
 private:
     bool may_use(const known_upstream& upstream) const;
+    //! The service for which `id` may get requests now; empty when it may get none.
+    service_id service_in_use(const upstream_id& id) const;
+    //! `id` was used for `before` until now; the rest of the view stays as it is.
+    void refresh(const upstream_id& id, const service_id& before);
     void put(time_point now, const upstream_entry& entry);
     void drop(time_point now, const upstream_id& id, bool after_outage);
     void rebuild();
@@ -61,5 +65,6 @@
     std::set<domain_id> evacuated;
     std::map<service_id, std::vector<upstream_id>> by_service;
     std::uint64_t view_epoch = 1;
+    time_point next_lapse = time_point::max(); //!< the earliest `missing_until`
 };
 } // namespace buckthornhill::fleet
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -7,16 +7,17 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
-#include "global/periodic_timer.h"
 #include "http/internal/client_connection.h"
 
 namespace buckthornhill::http {
 namespace asio = boost::asio;
 
 namespace {
-constexpr std::chrono::milliseconds sweep_interval{10};
-}
+//! Deadlines that lie closer together are acted on together.
+constexpr std::chrono::milliseconds least_sweep_interval{10};
+} // namespace
 
 class http_client::implementation : public std::enable_shared_from_this<implementation>
 {
@@ -24,6 +25,7 @@
     implementation(asio::io_context& io, const client_limits& bounds)
         : context(io)
         , limits(bounds)
+        , sweep_timer(io)
     {
     }
 
@@ -39,6 +41,7 @@
         this->busy.push_back(*connection);
         this->calls.emplace(call, connection);
         connection->start(std::move(request), std::move(terms));
+        this->sweep_at(connection->deadline());
         return call;
     }
 
@@ -59,7 +62,7 @@
     void close()
     {
         this->is_closed = true;
-        this->sweep_timer->stop();
+        this->sweep_timer.cancel();
         for (auto& [server, idle] : this->idle_by_server) {
             for (auto& connection : idle) {
                 connection->close();
@@ -80,18 +83,6 @@
             [](std::size_t sum, const client_connection& one) { return sum + one.buffered_bytes(); });
     }
 
-    //! Apart from the constructor, since the timer must not keep this object alive.
-    void start_sweeping()
-    {
-        this->sweep_timer =
-            std::make_unique<periodic_timer>(this->context, sweep_interval, [weak = this->weak_from_this()] {
-                if (const auto self = weak.lock()) {
-                    self->sweep();
-                }
-            });
-        this->sweep_timer->start();
-    }
-
 private:
     using connection_list =
         boost::intrusive::list<client_connection, boost::intrusive::constant_time_size<false>>;
@@ -172,6 +163,25 @@
         }
         connection->set_deadline(std::chrono::steady_clock::now() + this->limits.idle_timeout);
         idle.push_back(connection);
+        this->sweep_at(connection->deadline());
+    }
+
+    //! Sweeps when `deadline` has passed, unless an earlier sweep is due anyway; each sets the next.
+    void sweep_at(time_point deadline)
+    {
+        if (this->is_closed || deadline >= this->next_sweep) {
+            return;
+        }
+        this->next_sweep = std::max(deadline, std::chrono::steady_clock::now() + least_sweep_interval);
+        this->sweep_timer.expires_at(this->next_sweep);
+        this->sweep_timer.async_wait(
+            [weak = this->weak_from_this()](const boost::system::error_code& failure) {
+                const auto self = weak.lock();
+                if (self && !failure) {
+                    self->next_sweep = time_point::max();
+                    self->sweep();
+                }
+            });
     }
 
     void sweep()
@@ -186,20 +196,29 @@
                 position = this->busy.begin();
             }
         }
+        auto next = time_point::max();
+        for (const auto& connection : this->busy) {
+            next = std::min(next, connection.deadline());
+        }
         for (auto& [server, idle] : this->idle_by_server) {
-            std::erase_if(idle, [now](const client_connection::pointer& connection) {
+            std::erase_if(idle, [now, &next](const client_connection::pointer& connection) {
                 const bool is_stale = now >= connection->deadline();
                 if (is_stale) {
                     connection->close();
+                } else {
+                    next = std::min(next, connection->deadline());
                 }
                 return is_stale;
             });
         }
+        std::erase_if(this->idle_by_server, [](const auto& item) { return item.second.empty(); });
+        this->sweep_at(next);
     }
 
     asio::io_context& context;
     client_limits limits;
-    std::unique_ptr<periodic_timer> sweep_timer;
+    asio::steady_timer sweep_timer;
+    time_point next_sweep = time_point::max(); //!< when the timer ends; none is set at the maximum
     connection_list busy;
     std::map<endpoint, std::vector<client_connection::pointer>> idle_by_server;
     std::unordered_map<call_id, client_connection::pointer> calls;
@@ -210,7 +229,6 @@
 http_client::http_client(asio::io_context& context, const client_limits& limits)
     : state(std::make_shared<implementation>(context, limits))
 {
-    this->state->start_sweeping();
 }
 
 http_client::~http_client()
--- a/src/placement/object_ranking.cpp
+++ b/src/placement/object_ranking.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include "global/hash.h"
 
@@ -17,6 +18,30 @@
     return (static_cast<double>(hash >> (64 - mantissa_bits)) + 0.5) /
            static_cast<double>(1ULL << mantissa_bits);
 }
+
+//! The `count` first upstreams for the object.
+std::vector<upstream_id> rank(const fleet::upstream_roster& roster, const service_id& service,
+                              object_hash object, std::size_t count)
+{
+    const auto& usable = roster.usable(service);
+    std::vector<std::pair<double, const upstream_id*>> scored;
+    scored.reserve(usable.size());
+    for (const auto& id : usable) {
+        const auto slots =
+            static_cast<double>(std::max<std::int64_t>(1, roster.find_usable(id)->entry.slots.value()));
+        const auto weight = rendezvous_weight(hash_text(id.str()), object.value());
+        scored.emplace_back(std::log(unit_interval(weight)) / slots, &id);
+    }
+    const auto wanted = scored.begin() + static_cast<std::ptrdiff_t>(std::min(count, scored.size()));
+    std::partial_sort(scored.begin(), wanted, scored.end(), [](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first > b.first : *a.second > *b.second;
+    });
+    std::vector<upstream_id> first;
+    first.reserve(std::min(count, scored.size()));
+    std::transform(scored.begin(), wanted, std::back_inserter(first),
+                   [](const auto& item) { return *item.second; });
+    return first;
+}
 } // namespace
 
 std::size_t object_ranking::key_hash::operator()(const key& value) const noexcept
@@ -24,7 +49,7 @@
     return hash_text(value.service.str(), value.object.value());
 }
 
-const std::vector<upstream_id>& object_ranking::order(const fleet::upstream_roster& roster,
+const std::vector<upstream_id>& object_ranking::first(const fleet::upstream_roster& roster,
                                                       const service_id& service, object_hash object)
 {
     if (this->epoch != roster.epoch() || this->cached.size() >= max_cached_orders) {
@@ -32,21 +57,15 @@
         this->epoch = roster.epoch();
     }
     const auto [position, is_new] = this->cached.try_emplace(key{service, object});
-    if (!is_new) {
-        return position->second;
+    if (is_new) {
+        position->second = rank(roster, service, object, max_first);
     }
-    std::vector<std::pair<double, upstream_id>> scored;
-    for (const auto& id : roster.usable(service)) {
-        const auto slots =
-            static_cast<double>(std::max<std::int64_t>(1, roster.find_usable(id)->entry.slots.value()));
-        const auto weight = rendezvous_weight(hash_text(id.str()), object.value());
-        scored.emplace_back(std::log(unit_interval(weight)) / slots, id);
-    }
-    std::sort(scored.begin(), scored.end(), std::greater<>());
-    auto& order = position->second;
-    for (auto& [score, id] : scored) {
-        order.push_back(std::move(id));
-    }
-    return order;
+    return position->second;
+}
+
+std::vector<upstream_id> object_ranking::order(const fleet::upstream_roster& roster,
+                                               const service_id& service, object_hash object)
+{
+    return rank(roster, service, object, roster.usable(service).size());
 }
 } // namespace buckthornhill::placement
--- a/src/placement/object_ranking.h
+++ b/src/placement/object_ranking.h
@@ -13,8 +13,14 @@
 class object_ranking
 {
 public:
-    //! All usable upstreams of `service`, the object's first choice first. Valid until the roster changes.
-    const std::vector<upstream_id>& order(const fleet::upstream_roster& roster, const service_id& service,
+    //! A search rarely gets further, so only so many are remembered of each object.
+    static constexpr std::size_t max_first = 12;
+
+    //! The first usable upstreams of `service` for the object, in order. Valid until the next call.
+    const std::vector<upstream_id>& first(const fleet::upstream_roster& roster, const service_id& service,
+                                          object_hash object);
+    //! All of them, in the same order.
+    static std::vector<upstream_id> order(const fleet::upstream_roster& roster, const service_id& service,
                                           object_hash object);
 
 private:
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -368,3 +368,33 @@
     CHECK(times.warm() < milliseconds(230));
     CHECK(times.cold() > milliseconds(580));
 }
+
+TEST_CASE("[GIVEN] hundreds of upstreams [WHEN] objects are ranked [THEN] few are remembered of each",
+          "[placement][pattern: a large pool]")
+{
+    const auto roster = make_roster(624);
+    object_ranking ranking;
+    for (std::uint64_t object = 0; object < 50; ++object) {
+        const auto& first = ranking.first(roster, orders, object_hash(object));
+        const auto all = object_ranking::order(roster, orders, object_hash(object));
+        REQUIRE(first.size() == object_ranking::max_first);
+        CHECK(all.size() == 624);
+        CHECK(std::equal(first.begin(), first.end(), all.begin()));
+    }
+}
+
+TEST_CASE("[GIVEN] hundreds of upstreams [WHEN] all but one are full [THEN] that one gets the request",
+          "[placement][pattern: a large pool]")
+{
+    const auto roster = make_roster(100);
+    upstream_picker picker(instance_id("i1"), here, {});
+    const auto order = object_ranking::order(roster, orders, object_hash(7));
+    const time_point start{};
+    for (std::size_t i = 0; i + 1 < order.size(); ++i) {
+        const auto choice = send(picker, roster, start, request_for(7));
+        REQUIRE(choice.has_room);
+        picker.on_finished(start, request_for(7), choice, send_result::rejected, milliseconds(1));
+    }
+    const auto last = picker.pick(start, roster, request_for(7));
+    CHECK(last.has_room);
+}
--- a/src/placement/upstream_picker.cpp
+++ b/src/placement/upstream_picker.cpp
@@ -6,6 +6,7 @@
 namespace {
 //! A failed request costs the caller a second try, which takes about this many times the work.
 constexpr double cost_of_failure = 2.0;
+constexpr std::chrono::seconds sweep_interval{1}; //!< at which what is known of former upstreams is dropped
 
 duration scaled(duration value, double factor)
 {
@@ -103,26 +104,38 @@
 placement_choice upstream_picker::pick(time_point now, const fleet::upstream_roster& roster,
                                        const placement_request& request)
 {
-    const auto& order = this->ranking.order(roster, request.service, request.object);
     placement_choice best;
+    const auto& first = this->ranking.first(roster, request.service, request.object);
+    if (this->search(now, roster, request, first, 0, best) ||
+        first.size() == roster.usable(request.service).size()) {
+        return best;
+    }
+    const auto all = object_ranking::order(roster, request.service, request.object);
+    this->search(now, roster, request, all, first.size(), best);
+    return best;
+}
+
+bool upstream_picker::search(time_point now, const fleet::upstream_roster& roster,
+                             const placement_request& request, const std::vector<upstream_id>& order,
+                             std::size_t from, placement_choice& best)
+{
     std::size_t judged = 0;
-    bool is_first = true;
-    for (const auto& id : order) {
-        const bool is_first_choice = std::exchange(is_first, false);
+    for (auto place = from; place < order.size(); ++place) {
+        const auto& id = order[place];
         if (!this->is_allowed(now, roster, request, id)) {
             continue;
         }
-        const auto choice = this->judge(now, roster, request, id, is_first_choice);
+        const auto choice = this->judge(now, roster, request, id, place == 0);
         const bool is_better = best.upstream.empty() || (choice.has_room && !best.has_room) ||
                                (choice.has_room == best.has_room && choice.expected < best.expected);
         if (is_better) {
             best = choice;
         }
         if (++judged >= this->configuration.first_choices && best.has_room) {
-            break;
+            return true;
         }
     }
-    return best;
+    return false;
 }
 
 void upstream_picker::on_sent(time_point now, const fleet::upstream_roster& roster,
@@ -170,6 +183,10 @@
 
 void upstream_picker::on_tick(time_point now, const fleet::upstream_roster& roster)
 {
+    if (now < this->next_sweep) {
+        return;
+    }
+    this->next_sweep = now + sweep_interval;
     this->cold.forget_before(now);
     std::erase_if(this->loads, [&roster](const auto& item) {
         return item.second.own() == 0 && roster.find_usable(item.first) == nullptr;
--- a/src/placement/upstream_picker.h
+++ b/src/placement/upstream_picker.h
@@ -34,6 +34,9 @@
 private:
     upstream_load& load_of(const fleet::upstream_entry& entry);
     work_times& times_of(const placement_request& request);
+    //! Judges `order` from place `from` on; true when the search may end there.
+    bool search(time_point now, const fleet::upstream_roster& roster, const placement_request& request,
+                const std::vector<upstream_id>& order, std::size_t from, placement_choice& best);
     placement_choice judge(time_point now, const fleet::upstream_roster& roster,
                            const placement_request& request, const upstream_id& id, bool is_first_choice);
     bool is_allowed(time_point now, const fleet::upstream_roster& roster, const placement_request& request,
@@ -47,5 +50,6 @@
     cold_allowance cold;
     std::unordered_map<upstream_id, upstream_load> loads;
     std::map<std::string, work_times> times;
+    time_point next_sweep{};
 };
 } // namespace buckthornhill::placement
