Keep followers at their relay while a thousand upstreams register

Besides, each instance made a first waiting call for each collection, which was cancelled a second later when it found its relay. Test of the pause and of explain added; the first failed before (the call came at once).

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -1,5 +1,9 @@
 #include "gateway/fleet_view.h"
 
+#include <algorithm>
+
+#include <boost/json.hpp>
+
 #include "gateway/news_codec.h"
 #include "global/error.h"
 #include "global/log.h"
@@ -10,6 +14,29 @@
 namespace {
 constexpr std::string_view log_part = "view";
 constexpr std::size_t max_logged_bytes = 400; //!< of an object that cannot be read
+constexpr std::size_t max_single_lines = 8;   //!< more changes that come together share a line by state
+constexpr std::size_t max_named = 64;         //!< upstreams in one line
+
+const char* state_of(const std::optional<fleet::upstream_entry>& entry)
+{
+    if (!entry) {
+        return "removed";
+    }
+    return entry->is_leaving ? "leaving" : "ready";
+}
+
+void log_together(const std::map<std::string, std::vector<std::string>>& by_state, object_version at)
+{
+    for (const auto& [state, ids] : by_state) {
+        for (std::size_t from = 0; from < ids.size(); from += max_named) {
+            const auto until = std::min(from + max_named, ids.size());
+            boost::json::array named(ids.begin() + static_cast<std::ptrdiff_t>(from),
+                                     ids.begin() + static_cast<std::ptrdiff_t>(until));
+            log::event(log_part, "upstreams_changed",
+                       {{"state", state}, {"upstreams", std::move(named)}, {"store_version", at.value()}});
+        }
+    }
+}
 } // namespace
 
 fleet_view::fleet_view(const gateway_dialect& spelling, proxy::proxy_core& decisions)
@@ -90,6 +117,8 @@
                    {{"count", entries.size()}, {"store_version", update.at.value()}});
         return;
     }
+    const bool is_many = update.changes.size() > max_single_lines;
+    std::map<std::string, std::vector<std::string>> by_state;
     for (const auto& change : update.changes) {
         const upstream_id id(change.object.name);
         const auto entry = change.is_removed ? std::nullopt : this->decode_upstream(change.object);
@@ -98,15 +127,18 @@
         } else {
             roster.remove(now, id, change.is_removed && update.after_outage);
         }
+        if (is_many) {
+            by_state[state_of(entry)].push_back(id.str());
+            continue;
+        }
         log::event(log_part, "upstream_changed",
                    {{"upstream", id.str()},
-                    {"state", !entry              ? "removed"
-                              : entry->is_leaving ? "leaving"
-                                                  : "ready"},
+                    {"state", state_of(entry)},
                     {"cold_left_ms", entry ? entry->cold_left.count() : 0},
                     {"object_version", change.object.version.value()},
                     {"store_version", update.at.value()}});
     }
+    log_together(by_state, update.at);
 }
 
 void fleet_view::apply_evacuations()
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -112,15 +112,15 @@
            this->confirmed_at.contains(collection::evacuations);
 }
 
-bool store_relay::lacks(const follower& waiting, collection which) const
+bool store_relay::lacks(const std::map<collection, object_version>& known, collection which) const
 {
-    const auto known = waiting.known.find(which);
-    return known == waiting.known.end() || this->view.mirror(which).changed_at() > known->second;
+    const auto version = known.find(which);
+    return version == known.end() || this->view.mirror(which).changed_at() > version->second;
 }
 
 bool store_relay::has_news_for(const follower& waiting) const
 {
-    return std::ranges::any_of(relayed, [&](collection which) { return this->lacks(waiting, which); });
+    return std::ranges::any_of(relayed, [&](collection which) { return this->lacks(waiting.known, which); });
 }
 
 void store_relay::on_follower(time_point now, const http::exchange_ptr& exchange)
@@ -145,29 +145,35 @@
         return;
     }
     const bool in_touch = this->is_in_touch(now);
+    //! NOTE Most followers know the same versions, so one text serves them all.
+    std::map<std::map<collection, object_version>, std::string> texts;
     std::erase_if(this->followers, [&](const follower& waiting) {
         const bool is_due = !in_touch || now >= waiting.until || this->has_news_for(waiting);
         if (is_due) {
-            this->answer(now, waiting);
+            const auto [text, is_new] = texts.try_emplace(waiting.known);
+            if (is_new) {
+                text->second = this->news_since(now, waiting.known);
+            }
+            waiting.exchange->respond(http::json_response(text->second));
         }
         return is_due;
     });
 }
 
-void store_relay::answer(time_point now, const follower& waiting)
+std::string store_relay::news_since(time_point now, const std::map<collection, object_version>& known) const
 {
     relay_answer answer;
     answer.is_source = this->is_in_touch(now);
     if (answer.is_source) {
         for (const auto which : relayed) {
-            if (this->lacks(waiting, which)) {
-                const auto known = waiting.known.find(which);
-                const auto since = known == waiting.known.end() ? object_version() : known->second;
+            if (this->lacks(known, which)) {
+                const auto version = known.find(which);
+                const auto since = version == known.end() ? object_version() : version->second;
                 answer.updates.push_back(this->view.mirror(which).changes_since(which, since));
             }
         }
     }
-    waiting.exchange->respond(http::json_response(encode_relay_answer(answer)));
+    return encode_relay_answer(answer);
 }
 
 void store_relay::call(time_point now, const instance_id& relay)
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -65,10 +65,11 @@
     };
 
     bool is_in_touch(time_point now) const;
-    bool lacks(const follower& waiting, store::collection which) const;
+    bool lacks(const std::map<store::collection, object_version>& known, store::collection which) const;
     bool has_news_for(const follower& waiting) const;
     void answer_followers(time_point now);
-    void answer(time_point now, const follower& waiting);
+    //! The answer for an instance that knows these versions.
+    std::string news_since(time_point now, const std::map<store::collection, object_version>& known) const;
     void call(time_point now, const instance_id& relay);
     void on_result(const http::call_result& result);
     void report_source();
--- a/src/operators/request_history.cpp
+++ b/src/operators/request_history.cpp
@@ -67,7 +67,7 @@
         found.json = json::serialize(object);
         if (text_in(object, "request") == this->request) {
             this->own.push_back(std::move(found));
-        } else if (found.event == "upstream_changed" ||
+        } else if (found.event == "upstream_changed" || found.event == "upstreams_changed" ||
                    std::ranges::find(dependency_events, found.event) != dependency_events.end()) {
             this->others.push_back(std::move(found));
         }
@@ -79,8 +79,15 @@
     return std::ranges::any_of(this->own, [&](const line& mine) {
         const bool is_near = std::abs(candidate.time_ms - mine.time_ms) <= context_ms;
         const bool is_upstream = candidate.event == "upstream_changed";
-        return is_near && candidate.source == mine.source &&
-               (!is_upstream || (!mine.upstream.empty() && candidate.upstream == mine.upstream));
+        const bool is_many = candidate.event == "upstreams_changed";
+        if (!is_near || candidate.source != mine.source) {
+            return false;
+        }
+        if (is_many) {
+            return !mine.upstream.empty() &&
+                   candidate.json.find('"' + mine.upstream + '"') != std::string::npos;
+        }
+        return !is_upstream || (!mine.upstream.empty() && candidate.upstream == mine.upstream);
     });
 }
 
--- a/src/operators/tests/request_history_tests.cpp
+++ b/src/operators/tests/request_history_tests.cpp
@@ -14,6 +14,8 @@
 {"time_ms":10000,"part":"requests","event":"send_failed","request":"r1","send":1,"upstream":"u1","detail":"reset"}
 {"time_ms":10001,"part":"requests","event":"answer","request":"r1","outcome":"failed","reason":"the request may have run","upstream":"u1"}
 {"time_ms":10002,"part":"requests","event":"answer","request":"r2","outcome":"refused","reason":"overloaded"}
+{"time_ms":10003,"part":"view","event":"upstreams_changed","state":"removed","upstreams":["u1","u7"]}
+{"time_ms":10004,"part":"view","event":"upstreams_changed","state":"ready","upstreams":["u8"]}
 {"time_ms":90000,"part":"view","event":"store_lost","collection":"upstreams"}
 )";
 constexpr const char* log_of_b = R"({"time_ms":9990,"part":"gateway","event":"paused","ms":700}
@@ -47,6 +49,8 @@
     CHECK(text.find("leaving") < text.find("send_failed"));
     CHECK(text.find("send_failed") < text.find("\"answer\""));
     CHECK(has(history, "It may have run"));
+    CHECK(has(history, "u7"));
+    CHECK_FALSE(has(history, "u8"));
     CHECK_FALSE(has(history, "u9"));
     CHECK_FALSE(has(history, "store_lost"));
     CHECK_FALSE(has(history, "b.log"));
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -56,7 +56,8 @@
     bool is_in_contact = false;
     bool asks_at_once = false; //!< the next call is not to wait
     bool is_calling = false;
-    bool was_lost = false; //!< what is known is from before a loss of contact
+    bool was_delivered = false; //!< since the process started
+    bool was_lost = false;      //!< what is known is from before a loss of contact
     time_point contact_since{};
     time_point changed_at{};
     std::chrono::milliseconds backoff{0};
@@ -198,6 +199,7 @@
     auto& state = *this->watches.at(which);
     const auto at = update.at;
     const bool has_changes = !update.changes.empty();
+    const bool update_is_first = !std::exchange(state.was_delivered, true);
     if (!this->sink(std::move(update))) {
         state.is_listed = false;
         this->retry_later(which);
@@ -209,6 +211,11 @@
         this->call_later(which, this->configuration.instances_interval);
         return;
     }
+    if (update_is_first) {
+        //! NOTE Meanwhile this instance usually finds one that watches the store for it.
+        this->call_later(which, this->configuration.max_pause);
+        return;
+    }
     this->call_after_pause(which, has_changes);
 }
 
--- a/src/store/tests/collection_watcher_tests.cpp
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -83,12 +83,12 @@
 public:
     using answer = std::pair<unsigned, std::string>;
 
-    explicit scripted_store(std::vector<answer> answers)
+    explicit scripted_store(std::vector<answer> answers, milliseconds longest_pause = milliseconds(1))
         : script(std::move(answers))
         , server(this->context, {"127.0.0.1", 0}, http::server_limits{},
                  [this](const http::exchange_ptr& exchange) { this->on_call(exchange); })
         , watcher(
-              this->context, this->server.local_endpoint(), make_dialect(), quick(),
+              this->context, this->server.local_endpoint(), make_dialect(), quick(longest_pause),
               [this](const watcher_event& event) { return this->on_event(event); },
               [] { return std::uint64_t{0}; })
     {
@@ -108,18 +108,19 @@
     std::map<collection, object_version> known; //!< when the watcher starts
 
     std::vector<std::string> calls;
+    std::vector<time_point> called_at;
     std::vector<collection_update> updates;
     std::vector<bool> contacts;
     std::function<bool()> takes = [] { return true; };
 
 private:
-    static collection_watcher_configuration quick()
+    static collection_watcher_configuration quick(milliseconds longest_pause)
     {
         collection_watcher_configuration configuration;
         configuration.min_backoff = milliseconds(1);
         configuration.max_backoff = milliseconds(1);
         configuration.min_pause = milliseconds(1);
-        configuration.max_pause = milliseconds(1);
+        configuration.max_pause = longest_pause;
         return configuration;
     }
 
@@ -133,6 +134,7 @@
             return;
         }
         this->calls.push_back(request.method + " " + request.target);
+        this->called_at.push_back(std::chrono::steady_clock::now());
         if (this->next == this->script.size()) {
             this->waiting.push_back(exchange);
             this->context.stop();
@@ -268,3 +270,14 @@
     REQUIRE(store.updates.size() == 1);
     CHECK(store.updates[0].after_outage);
 }
+
+TEST_CASE("[GIVEN] a process that starts [WHEN] it has the first list [THEN] it leaves time to find a relay",
+          "[store][pattern: hundreds of instances start]")
+{
+    constexpr milliseconds pause(40);
+    scripted_store store({{200, "a@5"}, {200, "b@9"}}, pause);
+    store.play();
+    REQUIRE(store.calls.size() == 3);
+    CHECK(store.calls[1] == "GET /upstreams?since=5");
+    CHECK(store.called_at[1] - store.called_at[0] >= pause);
+}
