Pack bodies between instances; keep followers at a busy relay; wait less at the start

A follower's first call waited up to 0.7 s for news although it only wanted to know its relay, so its own waiting calls at the store were made first and then cancelled. Why a relay was left is in the log.

--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -174,10 +174,8 @@
 
 void gateway_engine::on_behind(store::collection which)
 {
-    if (this->relay->watches_store()) {
+    if (this->relay->asks_store_when_behind()) {
         this->callbacks.on_behind(which);
-    } else {
-        this->relay->on_doubt(now());
     }
 }
 
--- a/src/gateway/news_source.h
+++ b/src/gateway/news_source.h
@@ -33,8 +33,11 @@
     std::optional<instance_id> next_call(time_point now);
     void on_answer(time_point now, bool is_source);
     void on_failure(time_point now);
-    //! Others know more than the relay has brought, or this process stood still.
+    //! This process stood still: what it heard from the relay may be old.
     void on_doubt(time_point now);
+    //! A peer has known more for a while, and its changes are being fetched. Returns whether the store is to
+    //! be asked too: a relay that vouches for its contact is at most busy, and many would leave it at once.
+    bool asks_store_when_behind() const { return this->watches_store(); }
     //! Others follow this instance, so it stays with the store.
     void set_followed(bool followed) { this->is_followed = followed; }
 
--- a/src/gateway/peer_circle.cpp
+++ b/src/gateway/peer_circle.cpp
@@ -2,9 +2,10 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "gateway/gateway_errors.h"
 #include "gateway/gateway_translation.h"
+#include "global/error.h"
 #include "global/log.h"
+#include "http/body_coding.h"
 #include "http/http_responses.h"
 
 namespace buckthornhill::gateway {
@@ -27,6 +28,12 @@
     return std::chrono::steady_clock::now();
 }
 
+template <typename Message>
+std::string plain_body(const Message& message)
+{
+    return http::unpacked_body(message.headers, message.body, max_peer_message_bytes);
+}
+
 incarnation_id new_incarnation()
 {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -149,6 +156,7 @@
     request.target = news_path;
     request.headers.emplace_back("Content-Type", "application/json");
     request.body = encode_news(this->own_news());
+    http::pack_body(request.headers, request.body);
     const auto address = http::parse_endpoint(member->record.description.peer_address);
     this->client->send(address, std::move(request), now + news_timeout, http::connection_choice::reuse,
                        [this](const http::call_result& result) {
@@ -157,8 +165,8 @@
                                return;
                            }
                            try {
-                               this->on_news(clock_now(), decode_news(result.response.body));
-                           } catch (const gateway_error& failure) {
+                               this->on_news(clock_now(), decode_news(plain_body(result.response)));
+                           } catch (const buckthornhill::error& failure) {
                                log::event(log_part, "news_unreadable", {{"reason", failure.what()}});
                            }
                        });
@@ -217,8 +225,8 @@
                                return;
                            }
                            try {
-                               this->callbacks.on_collection(decode_collection(result.response.body));
-                           } catch (const gateway_error& failure) {
+                               this->callbacks.on_collection(decode_collection(plain_body(result.response)));
+                           } catch (const buckthornhill::error& failure) {
                                log::event(log_part, "collection_unreadable", {{"reason", failure.what()}});
                            }
                        });
@@ -230,15 +238,15 @@
     http::http_response refusal;
     try {
         if (http::path_of(request.target) == news_path) {
-            this->on_news(clock_now(), decode_news(request.body));
-            exchange->respond(http::json_response(encode_news(this->own_news())));
+            this->on_news(clock_now(), decode_news(plain_body(request)));
+            exchange->respond(http::packed_json_response(encode_news(this->own_news())));
             return;
         }
         if (http::path_of(request.target) == collection_path) {
             const auto which = store::parse_collection(http::query_value(request.target, "name"));
             const auto since = parse_version(http::query_value(request.target, "since"));
-            exchange->respond(
-                http::json_response(encode_collection(this->view.mirror(which).changes_since(which, since))));
+            exchange->respond(http::packed_json_response(
+                encode_collection(this->view.mirror(which).changes_since(which, since))));
             return;
         }
         if (this->callbacks.on_other_call(exchange)) {
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -5,10 +5,11 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "gateway/gateway_errors.h"
 #include "gateway/gateway_translation.h"
 #include "gateway/news_codec.h"
+#include "global/error.h"
 #include "global/log.h"
+#include "http/body_coding.h"
 #include "http/http_responses.h"
 
 namespace buckthornhill::gateway {
@@ -17,6 +18,7 @@
 namespace {
 constexpr std::string_view log_part = "relay";
 constexpr std::string_view changes_path = "/peer/changes";
+constexpr std::string_view first_call_key = "first";
 //! A follower that hears nothing for both together turns to the store, well inside the two seconds in which a
 //! change has to be in force.
 constexpr std::chrono::milliseconds follower_wait{700};
@@ -54,7 +56,7 @@
 void store_relay::set_members(const std::vector<instance_id>& live)
 {
     this->source.set_members(live);
-    this->report_source();
+    this->report_source("the instances of the failure domain changed");
 }
 
 void store_relay::on_tick(time_point now)
@@ -91,7 +93,7 @@
 void store_relay::on_doubt(time_point now)
 {
     this->source.on_doubt(now);
-    this->report_source();
+    this->report_source("this process stood still");
 }
 
 void store_relay::begin_leave(time_point now)
@@ -125,7 +127,9 @@
 
 void store_relay::on_follower(time_point now, const http::exchange_ptr& exchange)
 {
-    follower waiting{exchange, {}, now + follower_wait};
+    //! NOTE Until the first answer a follower still watches the store, so that one is not held back.
+    const bool is_first = http::query_value(exchange->request().target, first_call_key) == "1";
+    follower waiting{exchange, {}, is_first ? now : now + follower_wait};
     for (const auto which : relayed) {
         const auto version = http::query_value(exchange->request().target, store::to_string(which));
         if (!version.empty()) {
@@ -145,16 +149,16 @@
         return;
     }
     const bool in_touch = this->is_in_touch(now);
-    //! NOTE Most followers know the same versions, so one text serves them all.
-    std::map<std::map<collection, object_version>, std::string> texts;
+    //! NOTE Most followers know the same versions, so one answer serves them all.
+    std::map<std::map<collection, object_version>, http::http_response> answers;
     std::erase_if(this->followers, [&](const follower& waiting) {
         const bool is_due = !in_touch || now >= waiting.until || this->has_news_for(waiting);
         if (is_due) {
-            const auto [text, is_new] = texts.try_emplace(waiting.known);
+            const auto [answer, is_new] = answers.try_emplace(waiting.known);
             if (is_new) {
-                text->second = this->news_since(now, waiting.known);
+                answer->second = http::packed_json_response(this->news_since(now, waiting.known));
             }
-            waiting.exchange->respond(http::json_response(text->second));
+            waiting.exchange->respond(answer->second);
         }
         return is_due;
     });
@@ -192,6 +196,9 @@
                 std::string(store::to_string(which)) + "=" + std::to_string(mirror.at().value()) + "&";
         }
     }
+    if (this->source.watches_store()) {
+        request.target += std::string(first_call_key) + "=1";
+    }
     this->client->send(http::parse_endpoint(address), std::move(request),
                        now + follower_wait + answer_timeout, http::connection_choice::reuse,
                        [this](const http::call_result& result) { this->on_result(result); });
@@ -201,22 +208,27 @@
 {
     const auto now = clock_now();
     relay_answer answer;
-    if (result.status == http::call_status::complete && result.response.status == status_ok) {
+    std::string reason = "the relay is out of touch with the store";
+    if (result.status != http::call_status::complete || result.response.status != status_ok) {
+        reason = "the relay did not answer: " + result.detail;
+    } else {
         try {
-            answer = decode_relay_answer(result.response.body);
-        } catch (const gateway_error& failure) {
+            answer = decode_relay_answer(
+                http::unpacked_body(result.response.headers, result.response.body, max_peer_message_bytes));
+        } catch (const buckthornhill::error& failure) {
             log::event(log_part, "answer_unreadable", {{"reason", failure.what()}});
+            reason = "the relay's answer cannot be read";
         }
     }
     this->source.on_answer(now, answer.is_source);
     for (const auto& update : answer.updates) {
         this->callbacks.on_collection(update);
     }
-    this->report_source();
+    this->report_source(reason);
     this->on_tick(now);
 }
 
-void store_relay::report_source()
+void store_relay::report_source(std::string_view reason)
 {
     const bool watches = this->source.watches_store();
     if (std::exchange(this->was_watching, watches) == watches) {
@@ -224,7 +236,11 @@
     }
     //! NOTE What the store confirmed before this instance followed another one says nothing now.
     this->confirmed_at.clear();
-    log::event(log_part, watches ? "watches_store" : "follows", {{"relay", this->source.relay().str()}});
+    boost::json::object facts{{"relay", this->source.relay().str()}};
+    if (watches) {
+        facts["reason"] = reason;
+    }
+    log::event(log_part, watches ? "watches_store" : "follows", std::move(facts));
     this->callbacks.on_source_changed(watches);
 }
 } // namespace buckthornhill::gateway
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -50,6 +50,7 @@
     //! This instance ends: those that follow it are sent to the store.
     void begin_leave(time_point now);
     bool watches_store() const { return this->source.watches_store(); }
+    bool asks_store_when_behind() const { return this->source.asks_store_when_behind(); }
 
     //! Whether `target` is a follower's call.
     static bool is_call(std::string_view target);
@@ -72,7 +73,8 @@
     std::string news_since(time_point now, const std::map<store::collection, object_version>& known) const;
     void call(time_point now, const instance_id& relay);
     void on_result(const http::call_result& result);
-    void report_source();
+    //! Tells the owner when the source changed; `reason` is why a relay was left.
+    void report_source(std::string_view reason);
 
     const fleet_view& view;
     hooks callbacks;
--- a/src/gateway/tests/news_source_tests.cpp
+++ b/src/gateway/tests/news_source_tests.cpp
@@ -158,3 +158,16 @@
     source.on_answer(start, true);
     CHECK_FALSE(source.watches_store());
 }
+
+TEST_CASE("[GIVEN] a relay that answers [WHEN] peers know more for a while [THEN] its followers stay with it",
+          "[gateway][pattern: a thousand upstreams register]")
+{
+    const auto members = instances(22);
+    auto source = source_of(a_follower(members), members);
+    CHECK(source.asks_store_when_behind());
+    REQUIRE(source.next_call(start));
+    source.on_answer(start, true);
+    CHECK_FALSE(source.asks_store_when_behind());
+    CHECK_FALSE(source.watches_store());
+    CHECK(source.next_call(start + milliseconds(1)));
+}
--- a/src/http/internal/http_responses.cpp
+++ b/src/http/internal/http_responses.cpp
@@ -1,5 +1,7 @@
 #include "http/http_responses.h"
 
+#include "http/body_coding.h"
+
 namespace buckthornhill::http {
 http_response text_response(unsigned status, std::string text)
 {
@@ -17,4 +19,11 @@
     response.body = std::move(body);
     return response;
 }
+
+http_response packed_json_response(std::string body)
+{
+    auto response = json_response(std::move(body));
+    pack_body(response.headers, response.body);
+    return response;
+}
 } // namespace buckthornhill::http
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -199,7 +199,7 @@
     auto& state = *this->watches.at(which);
     const auto at = update.at;
     const bool has_changes = !update.changes.empty();
-    const bool update_is_first = !std::exchange(state.was_delivered, true);
+    const bool is_first = !std::exchange(state.was_delivered, true);
     if (!this->sink(std::move(update))) {
         state.is_listed = false;
         this->retry_later(which);
@@ -211,9 +211,10 @@
         this->call_later(which, this->configuration.instances_interval);
         return;
     }
-    if (update_is_first) {
-        //! NOTE Meanwhile this instance usually finds one that watches the store for it.
-        this->call_later(which, this->configuration.max_pause);
+    if (is_first) {
+        //! NOTE Without a configuration nobody can serve, so its first version is not waited for.
+        const bool is_urgent = which == collection::configuration && !has_changes;
+        this->call_later(which, is_urgent ? this->configuration.min_pause : this->configuration.first_pause);
         return;
     }
     this->call_after_pause(which, has_changes);
--- a/src/store/tests/collection_watcher_tests.cpp
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -83,12 +83,12 @@
 public:
     using answer = std::pair<unsigned, std::string>;
 
-    explicit scripted_store(std::vector<answer> answers, milliseconds longest_pause = milliseconds(1))
+    explicit scripted_store(std::vector<answer> answers, milliseconds first_pause = milliseconds(1))
         : script(std::move(answers))
         , server(this->context, {"127.0.0.1", 0}, http::server_limits{},
                  [this](const http::exchange_ptr& exchange) { this->on_call(exchange); })
         , watcher(
-              this->context, this->server.local_endpoint(), make_dialect(), quick(longest_pause),
+              this->context, this->server.local_endpoint(), make_dialect(), quick(first_pause),
               [this](const watcher_event& event) { return this->on_event(event); },
               [] { return std::uint64_t{0}; })
     {
@@ -114,13 +114,14 @@
     std::function<bool()> takes = [] { return true; };
 
 private:
-    static collection_watcher_configuration quick(milliseconds longest_pause)
+    static collection_watcher_configuration quick(milliseconds first_pause)
     {
         collection_watcher_configuration configuration;
         configuration.min_backoff = milliseconds(1);
         configuration.max_backoff = milliseconds(1);
         configuration.min_pause = milliseconds(1);
-        configuration.max_pause = longest_pause;
+        configuration.max_pause = milliseconds(1);
+        configuration.first_pause = first_pause;
         return configuration;
     }
 
