--- a/src/http/tests/pipelining_tests.cpp
+++ b/src/http/tests/pipelining_tests.cpp
@@ -346,3 +346,31 @@
     CHECK(answers.find("500 Internal Server Error") == 9);
     CHECK(answers.find("200 OK") != std::string::npos);
 }
+
+TEST_CASE("[GIVEN] a large answer to a client that does not read [WHEN] a stop waits for it [THEN] it goes "
+          "out whole",
+          "[http][pattern: planned stop]")
+{
+    constexpr std::size_t size = 32UL * 1024 * 1024;
+    holding_server server;
+    tcp::socket socket(server.context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), server.server.local_endpoint().port});
+    boost::asio::write(socket, boost::asio::buffer(get("/large")));
+    REQUIRE(server.run_until([&] { return server.held.contains("/large"); }));
+    server.server.announce_close();
+    http_response response;
+    response.body.assign(size, 'x');
+    const auto exchange = server.held["/large"];
+    server.held.clear();
+    exchange->respond(std::move(response));
+    server.context.poll();
+    CHECK_FALSE(server.server.is_idle());
+
+    std::string received;
+    bool is_ended = false;
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(received),
+                            [&](const boost::system::error_code&, std::size_t) { is_ended = true; });
+    CHECK(server.run_until([&] { return is_ended; }));
+    CHECK(received.size() > size);
+    CHECK(server.server.is_idle());
+}
