Refuse peers' records with an address that is none

Records and registrations are now refused when an address cannot be called (test failed first, 15 checks). Decoders of peers' messages and of the store's answers get 20,000 texts spoilt from a seed each: every one is read or refused with the layer's own error.

--- a/src/gateway/news_codec.cpp
+++ b/src/gateway/news_codec.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "gateway/gateway_errors.h"
+#include "http/http_types.h"
 #include "store/store_errors.h"
 
 namespace buckthornhill::gateway {
@@ -41,6 +42,12 @@
     return std::string(fields.at(index).as_string());
 }
 
+//! An address that cannot be called would fail each round of heartbeats and each look-up later.
+std::string checked_address(const json::value& value)
+{
+    return http::parse_endpoint(std::string(value.as_string())).str();
+}
+
 membership::member_record decode_member(const json::value& value)
 {
     const auto& fields = value.as_array();
@@ -62,8 +69,8 @@
     }
     record.description.region = region_id(text_at(fields, region));
     record.description.domain = domain_id(text_at(fields, domain));
-    record.description.peer_address = text_at(fields, peer);
-    record.description.caller_address = text_at(fields, caller);
+    record.description.peer_address = checked_address(fields.at(peer));
+    record.description.caller_address = checked_address(fields.at(caller));
     return record;
 }
 
@@ -208,8 +215,8 @@
         member.incarnation = incarnation_id(whole.at("incarnation").to_number<std::uint64_t>());
         member.region = region_id(std::string(whole.at("region").as_string()));
         member.domain = domain_id(std::string(whole.at("domain").as_string()));
-        member.peer_address = std::string(whole.at("peers").as_string());
-        member.caller_address = std::string(whole.at("callers").as_string());
+        member.peer_address = checked_address(whole.at("peers"));
+        member.caller_address = checked_address(whole.at("callers"));
         return member;
     });
 }
--- a/src/gateway/tests/news_codec_tests.cpp
+++ b/src/gateway/tests/news_codec_tests.cpp
@@ -1,7 +1,11 @@
+#include <functional>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "gateway/gateway_errors.h"
 #include "gateway/news_codec.h"
+#include "text_mutator.h"
 
 using namespace buckthornhill;
 using namespace buckthornhill::gateway;
@@ -101,3 +105,59 @@
     CHECK_THROWS_AS(decode_collection("{\"collection\":\"upstreams\"}"), gateway_error);
     CHECK_THROWS_AS(decode_registration("{\"id\":7}"), gateway_error);
 }
+
+TEST_CASE(
+    "[GIVEN] a member record with an address that is none [WHEN] it is read [THEN] the message is refused",
+    "[gateway]")
+{
+    for (const auto* address : {"nowhere", "10.0.0.1", "10.0.0.1:x", "host:80", ""}) {
+        auto member = make_member();
+        member.peer_address = address;
+        CHECK_THROWS_AS(decode_news(encode_news({{{member, membership::member_state::live, 9}}, {}})),
+                        gateway_error);
+        CHECK_THROWS_AS(decode_registration(encode_registration(member)), gateway_error);
+        member = make_member();
+        member.caller_address = address;
+        CHECK_THROWS_AS(decode_news(encode_news({{{member, membership::member_state::live, 9}}, {}})),
+                        gateway_error);
+    }
+}
+
+TEST_CASE("[GIVEN] peers' messages [WHEN] they are spoilt anywhere [THEN] each is read or refused as a whole",
+          "[gateway][pattern: malformed messages]")
+{
+    peer_news news;
+    news.members.push_back({make_member(), membership::member_state::live, 9});
+    news.members.push_back({{instance_id("entry-2"), incarnation_id(5), {}, {}, {}, {}}, {}, 3, true});
+    news.changed_at[store::collection::upstreams] = object_version(41);
+    store::collection_update update;
+    update.which = store::collection::upstreams;
+    update.at = object_version(6);
+    update.changes = {{{"u1", R"({"a":1})", object_version(5)}, false},
+                      {{"u2", "", object_version(6)}, true}};
+    const auto texts =
+        std::vector<std::string>{encode_news(news), encode_collection(update),
+                                 encode_relay_answer({true, {update}}), encode_registration(make_member())};
+    const std::vector<std::function<void(const std::string&)>> readers{
+        [](const std::string& text) { decode_news(text); },
+        [](const std::string& text) { decode_collection(text); },
+        [](const std::string& text) { decode_relay_answer(text); },
+        [](const std::string& text) { decode_registration(text); }};
+    testing::text_mutator mutator(11);
+    int refused = 0;
+    for (int i = 0; i < 20000; ++i) {
+        const auto kind = static_cast<std::size_t>(i) % texts.size();
+        const auto spoilt = mutator.spoil(texts[kind]);
+        INFO(spoilt);
+        bool is_foreign = false;
+        try {
+            readers[kind](spoilt);
+        } catch (const gateway_error&) {
+            ++refused;
+        } catch (...) {
+            is_foreign = true;
+        }
+        REQUIRE_FALSE(is_foreign);
+    }
+    CHECK(refused > 10000);
+}
--- /dev/null
+++ b/tests/support/text_mutator.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <random>
+#include <string>
+
+namespace buckthornhill::testing {
+//! Spoils texts in ways drawn from a seed: bytes change, pieces go, come twice, or give way to odd values.
+class text_mutator
+{
+public:
+    explicit text_mutator(std::uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    std::string spoil(std::string text)
+    {
+        const auto times = 1 + this->draw(3);
+        for (std::size_t i = 0; i < times; ++i) {
+            this->spoil_once(text);
+        }
+        return text;
+    }
+
+private:
+    std::size_t draw(std::size_t bound) { return bound == 0 ? 0 : this->random() % bound; }
+
+    void spoil_once(std::string& text)
+    {
+        static const std::string odd_values[] = {
+            "null", "{}",  "[]",   "-1",    "1e400",    "99999999999999999999",
+            "\"\"", "0.5", "true", "\"x\"", "\xff\xfe", std::string(200, '[')};
+        const auto at = this->draw(text.size() + 1);
+        const auto length = this->draw(16);
+        switch (this->draw(5)) {
+        case 0:
+            if (at < text.size()) {
+                text[at] = static_cast<char>(this->draw(256));
+            }
+            break;
+        case 1:
+            text.erase(at, length);
+            break;
+        case 2:
+            text.insert(at, text.substr(at, length));
+            break;
+        case 3:
+            text.resize(at);
+            break;
+        default:
+            this->replace_value(text, odd_values[this->draw(std::size(odd_values))]);
+        }
+    }
+
+    //! Puts `value` in place of what stands between a colon or bracket and the next comma or bracket.
+    void replace_value(std::string& text, const std::string& value)
+    {
+        const auto from = text.find_first_of(":[", this->draw(text.size() + 1));
+        if (from == std::string::npos) {
+            return;
+        }
+        const auto until = text.find_first_of(",]}", from + 1);
+        text.replace(from + 1, until == std::string::npos ? std::string::npos : until - from - 1, value);
+    }
+
+    std::mt19937_64 random;
+};
+} // namespace buckthornhill::testing
