--- a/src/fleet/tests/upstream_roster_tests.cpp
+++ b/src/fleet/tests/upstream_roster_tests.cpp
@@ -155,6 +155,7 @@
     upstream_roster listed{roster_configuration{}};
     listed.set_evacuated({domain_id("e")});
     std::vector<upstream_entry> entries;
+    entries.reserve(present.size());
     for (const auto& [id, entry] : present) {
         entries.push_back(entry);
     }
--- a/src/http/tests/body_coding_tests.cpp
+++ b/src/http/tests/body_coding_tests.cpp
@@ -63,7 +63,8 @@
     }
     for (int i = 0; i < 2000; ++i) {
         auto spoilt = body;
-        spoilt[random() % spoilt.size()] ^= static_cast<char>(1U << (random() % 8));
+        auto& byte = spoilt[random() % spoilt.size()];
+        byte = static_cast<char>(static_cast<unsigned char>(byte) ^ (1U << (random() % 8)));
         std::string plain = text;
         try {
             plain = unpacked_body(headers, spoilt, bound);
--- a/src/http/tests/http_edge_tests.cpp
+++ b/src/http/tests/http_edge_tests.cpp
@@ -389,6 +389,7 @@
 {
     constexpr int streams = 40;
     std::vector<std::unique_ptr<scripted_server>> servers;
+    servers.reserve(streams);
     const std::string much(64UL * 1024, 'x');
     for (int i = 0; i < streams; ++i) {
         servers.push_back(std::make_unique<scripted_server>(endless("HTTP/1.1 200 OK\r\n\r\n", much)));
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -43,8 +43,8 @@
     //! doubles while they go on, up to two fifths of the two seconds in which a change has to be in force.
     std::chrono::milliseconds min_pause{250};
     std::chrono::milliseconds max_pause{800};
-    //! Between the first list of a process and its first waiting call. Meanwhile an instance usually finds one
-    //! that watches the store for it, so the call is not made at all.
+    //! Between the first list of a process and its first waiting call. Meanwhile an instance usually finds
+    //! one that watches the store for it, so the call is not made at all.
     std::chrono::milliseconds first_pause{1200};
     //! The same two while contact is being confirmed: together they bound how old a confirmation gets, and
     //! leave the instances that depend on it a second of the two in which a change has to be in force.
