Keep using an upstream that rejects requests but reports free slots

For nine seconds the upstreams of one service reject half of what they get while they report free slots. Change: the load report is one type with the number of slots, decoded from the header; a report of a free slot ends the time in which the upstream counts as full. The test of that load failed first.

--- a/src/gateway/gateway_dialect.h
+++ b/src/gateway/gateway_dialect.h
@@ -8,6 +8,7 @@
 
 #include "fleet/fleet_types.h"
 #include "http/http_types.h"
+#include "placement/placement_types.h"
 #include "routing/routing_types.h"
 #include "store/collection_types.h"
 
@@ -27,9 +28,7 @@
     bool is_not_executed = false; //!< the upstream did not execute the request
     bool is_misdirected = false;  //!< this address now belongs to another upstream
     bool is_authentic = true;     //!< false for a success response without the upstream's signature
-    bool has_load = false;
-    std::int64_t running = 0;
-    std::int64_t waiting = 0;
+    std::optional<placement::load_report> load;
 };
 
 struct lookup_query
--- a/src/gateway/gateway_translation.cpp
+++ b/src/gateway/gateway_translation.cpp
@@ -56,9 +56,7 @@
     outcome.is_not_executed = metadata.is_not_executed;
     outcome.is_misdirected = metadata.is_misdirected;
     outcome.is_server_failure = result.response.status >= first_server_failure_status;
-    outcome.has_load = metadata.has_load;
-    outcome.running = metadata.running;
-    outcome.waiting = metadata.waiting;
+    outcome.load = metadata.load;
     return outcome;
 }
 http::client_limits upstream_limits(const gateway_settings& settings)
--- a/src/placement/placement_types.h
+++ b/src/placement/placement_types.h
@@ -60,6 +60,14 @@
     duration expected_work{};    //!< part of `expected_latency` in which the upstream works on the request
 };
 
+//! Load of an upstream by its own report, over the requests of all instances.
+struct load_report
+{
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+    std::int64_t slots = 0; //!< 0 when the upstream does not report them
+};
+
 enum class upstream_attempt_result {
     answered,
     rejected,        //!< the upstream was at capacity and did not run the request
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -202,6 +202,34 @@
     }
 }
 
+TEST_CASE(
+    "[GIVEN] upstreams that reject requests [WHEN] their reports show free slots [THEN] they stay in use",
+    "[placement][pattern: upstreams reject part of the requests although they have free slots]")
+{
+    const auto roster = make_roster(3);
+    upstream_picker picker(instance_id("i1"), here, {});
+    const time_point start{};
+    for (int i = 0; i < 3; ++i) {
+        const auto choice = send(picker, roster, start, request_for(7));
+        REQUIRE(choice.has_room);
+        picker.on_finished(start, request_for(7), choice, upstream_attempt_result::rejected, milliseconds(1));
+        picker.on_report(start, choice.upstream, {1, 0, 4});
+    }
+    CHECK(picker.pick(start, roster, request_for(7)).has_room);
+
+    SECTION("but not while they report that all slots are in use")
+    {
+        for (int i = 0; i < 3; ++i) {
+            const auto choice = send(picker, roster, start, request_for(7));
+            REQUIRE(choice.has_room);
+            picker.on_finished(start, request_for(7), choice, upstream_attempt_result::rejected,
+                               milliseconds(1));
+            picker.on_report(start, choice.upstream, {4, 0, 4});
+        }
+        CHECK_FALSE(picker.pick(start, roster, request_for(7)).has_room);
+    }
+}
+
 TEST_CASE("[GIVEN] reported load of other instances [WHEN] the report ages [THEN] its weight decreases",
           "[placement]")
 {
@@ -209,7 +237,7 @@
     upstream_load load(configuration, 1);
     const time_point now{std::chrono::seconds(100)};
     load.on_sent();
-    load.on_report(now, 4, 2);
+    load.on_report(now, {4, 2, 4});
     CHECK(load.estimated_requests(now) == Approx(6));
     CHECK(load.estimated_requests(now + milliseconds(700)) == Approx(1 + 2.5));
     CHECK(load.estimated_requests(now + milliseconds(1200)) == Approx(1));
--- a/src/placement/upstream_load.cpp
+++ b/src/placement/upstream_load.cpp
@@ -80,9 +80,14 @@
     }
 }
 
-void upstream_load::on_report(time_point now, std::int64_t running, std::int64_t waiting)
+void upstream_load::on_report(time_point now, const load_report& report)
 {
-    this->other_requests = std::max<double>(0, static_cast<double>(running + waiting - this->in_flight));
+    const auto requests = report.running + report.waiting;
+    //! NOTE A faulty upstream may reject requests although it has free slots; it can take the next one.
+    if (requests < report.slots) {
+        this->at_capacity_until = {};
+    }
+    this->other_requests = std::max<double>(0, static_cast<double>(requests - this->in_flight));
     this->reported_at = now;
 }
 
--- a/src/placement/upstream_load.h
+++ b/src/placement/upstream_load.h
@@ -20,8 +20,7 @@
     void on_sent();
     //! `took` and `expected` are the measured and the expected time until the response.
     void on_finished(time_point now, upstream_attempt_result result, duration took, duration expected);
-    //! Load report of the upstream: how many requests of all instances it runs, and how many wait there.
-    void on_report(time_point now, std::int64_t running, std::int64_t waiting);
+    void on_report(time_point now, const load_report& report);
     void record_object(object_hash object);
     bool handled_recently(object_hash object) const { return this->recent_object_positions.contains(object); }
 
@@ -29,7 +28,7 @@
     double estimated_requests(time_point now) const;
     std::int64_t own_in_flight() const { return this->in_flight; }
     bool is_ejected(time_point now) const;
-    //! The upstream rejected a request because it was at capacity, and has not answered one since.
+    //! The upstream rejected a request, and has neither answered one nor reported a free slot since.
     bool is_at_capacity(time_point now) const { return now < this->at_capacity_until; }
     //! Moving average of measured time divided by expected time; 1 when nothing is known.
     double slowness(time_point now) const;
--- a/src/placement/upstream_picker.cpp
+++ b/src/placement/upstream_picker.cpp
@@ -179,12 +179,11 @@
     }
 }
 
-void upstream_picker::on_report(time_point now, const upstream_id& upstream, std::int64_t running,
-                                std::int64_t waiting)
+void upstream_picker::on_report(time_point now, const upstream_id& upstream, const load_report& report)
 {
     const auto found = this->loads.find(upstream);
     if (found != this->loads.end()) {
-        found->second.on_report(now, running, waiting);
+        found->second.on_report(now, report);
     }
 }
 
--- a/src/placement/upstream_picker.h
+++ b/src/placement/upstream_picker.h
@@ -23,7 +23,7 @@
                  const upstream_id& upstream);
     void on_finished(time_point now, const placement_request& request, const placement_choice& choice,
                      upstream_attempt_result result, duration took);
-    void on_report(time_point now, const upstream_id& upstream, std::int64_t running, std::int64_t waiting);
+    void on_report(time_point now, const upstream_id& upstream, const load_report& report);
     void set_instances(time_point now, const std::vector<instance_id>& known)
     {
         this->cold_limiter.set_instances(now, known);
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -180,8 +180,8 @@
     }
     auto& flow = found->second;
     this->picker.on_finished(now, flow.requirements, flow.choice, result_of(outcome), now - flow.sent_at);
-    if (outcome.has_load) {
-        this->picker.on_report(now, flow.choice.upstream, outcome.running, outcome.waiting);
+    if (outcome.load) {
+        this->picker.on_report(now, flow.choice.upstream, *outcome.load);
     }
     if (outcome.is_misdirected) {
         this->roster.on_misdirected(flow.choice.upstream);
--- a/src/proxy/proxy_types.h
+++ b/src/proxy/proxy_types.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -105,11 +106,9 @@
 struct attempt_outcome
 {
     transport_status status = transport_status::broken;
-    bool is_not_executed = false;   //!< the upstream reported that it did not run the request
-    bool is_misdirected = false;    //!< the address belongs to another upstream now
-    bool is_server_failure = false; //!< a 5xx response
-    bool has_load = false;
-    std::int64_t running = 0; //!< requests of all instances that the upstream runs
-    std::int64_t waiting = 0; //!< requests of all instances that wait at the upstream
+    bool is_not_executed = false;               //!< the upstream reported that it did not run the request
+    bool is_misdirected = false;                //!< the address belongs to another upstream now
+    bool is_server_failure = false;             //!< a 5xx response
+    std::optional<placement::load_report> load; //!< empty when the response has no report
 };
 } // namespace buckthornhill::proxy
