Place most objects in the region of their callers, as far as it has slots

One region has a third of the callers and 2 of 22 upstreams, so a strict home does not work. Change: a plan by region, computed alike on every instance of a region from the upstreams and the known instances: requests stay as far as the region has its part of the slots, the rest goes where slots are to spare, and half of all objects stay spread over the pool.

--- a/src/gateway/peer_gossip.h
+++ b/src/gateway/peer_gossip.h
@@ -55,7 +55,7 @@
 
     std::size_t live_count() const { return this->members.live_members().size(); }
     //! This instance and all others that the store's list or a peer named and that are not gone.
-    std::vector<instance_id> known_instances() const;
+    std::vector<placement::known_instance> known_instances() const;
     std::vector<instance_id> live_in_domain() const;
     //! Empty when the peer is unknown.
     std::string peer_address_of(const instance_id& id) const;
--- a/src/placement/cold_upstream_limiter.cpp
+++ b/src/placement/cold_upstream_limiter.cpp
@@ -14,10 +14,10 @@
 constexpr double send_interval_margin = 1.05;
 } // namespace
 
-void cold_upstream_limiter::set_instances(time_point now, const std::vector<instance_id>& known)
+void cold_upstream_limiter::set_instances(time_point now, const std::vector<known_instance>& known)
 {
     for (const auto& instance : known) {
-        this->last_known_at[instance] = now;
+        this->last_known_at[instance.id] = now;
     }
     std::erase_if(this->last_known_at,
                   [now](const auto& item) { return now - item.second > instance_retention; });
--- a/src/placement/cold_upstream_limiter.h
+++ b/src/placement/cold_upstream_limiter.h
@@ -5,6 +5,7 @@
 
 #include "global/ids.h"
 #include "global/units.h"
+#include "placement/placement_types.h"
 
 namespace buckthornhill::placement {
 //! Limits the rate of requests that all instances together send to one cold upstream, without messages
@@ -19,10 +20,9 @@
     {
     }
 
-    //! `known` are the instances that are registered or were heard from. An instance that is no longer among
-    //! them still counts for a while, so that instances that lose contact do not all use its part of the
-    //! rate.
-    void set_instances(time_point now, const std::vector<instance_id>& known);
+    //! An instance that is no longer known still counts for a while, so that instances that lose contact do
+    //! not all use its part of the rate.
+    void set_instances(time_point now, const std::vector<known_instance>& known);
 
     //! `requests_per_second` is the rate that `upstream` can handle from all instances together.
     bool may_send(time_point now, const upstream_id& upstream, double requests_per_second) const;
--- a/src/placement/object_ranking.cpp
+++ b/src/placement/object_ranking.cpp
@@ -20,17 +20,18 @@
 }
 
 //! The `count` top-ranked upstreams for the object.
-std::vector<upstream_id> rank(const fleet::upstream_roster& roster, const service_id& service,
-                              object_hash object, std::size_t count)
+std::vector<upstream_id> rank(const fleet::upstream_roster& roster, region_plan& plan,
+                              const service_id& service, object_hash object, std::size_t count)
 {
     const auto& usable = roster.usable(service);
     std::vector<std::pair<double, const upstream_id*>> scored;
     scored.reserve(usable.size());
     for (const auto& id : usable) {
-        const auto slots =
-            static_cast<double>(std::max<std::int64_t>(1, roster.find_usable(id)->entry.slots.value()));
+        const auto& entry = roster.find_usable(id)->entry;
+        const auto slots = static_cast<double>(std::max<std::int64_t>(1, entry.slots.value()));
+        const auto slot_weight = plan.slot_weight(roster, service, entry.where.region);
         const auto weight = rendezvous_weight(hash_text(id.str()), object.value());
-        scored.emplace_back(std::log(unit_interval(weight)) / slots, &id);
+        scored.emplace_back(std::log(unit_interval(weight)) / (slots * slot_weight), &id);
     }
     const auto ranked_end = scored.begin() + static_cast<std::ptrdiff_t>(std::min(count, scored.size()));
     std::partial_sort(scored.begin(), ranked_end, scored.end(), [](const auto& a, const auto& b) {
@@ -50,22 +51,25 @@
 }
 
 const std::vector<upstream_id>& object_ranking::top_ranked(const fleet::upstream_roster& roster,
-                                                           const service_id& service, object_hash object)
+                                                           region_plan& plan, const service_id& service,
+                                                           object_hash object)
 {
-    if (this->epoch != roster.epoch() || this->cached.size() >= max_cached_rankings) {
+    const bool is_outdated = this->roster_epoch != roster.epoch() || this->plan_epoch != plan.epoch();
+    if (is_outdated || this->cached.size() >= max_cached_rankings) {
         this->cached.clear();
-        this->epoch = roster.epoch();
+        this->roster_epoch = roster.epoch();
+        this->plan_epoch = plan.epoch();
     }
     const auto [position, is_new] = this->cached.try_emplace(key{service, object});
     if (is_new) {
-        position->second = rank(roster, service, object, max_top_ranked);
+        position->second = rank(roster, plan, service, object, max_top_ranked);
     }
     return position->second;
 }
 
-std::vector<upstream_id> object_ranking::full_ranking(const fleet::upstream_roster& roster,
+std::vector<upstream_id> object_ranking::full_ranking(const fleet::upstream_roster& roster, region_plan& plan,
                                                       const service_id& service, object_hash object)
 {
-    return rank(roster, service, object, roster.usable(service).size());
+    return rank(roster, plan, service, object, roster.usable(service).size());
 }
 } // namespace buckthornhill::placement
--- a/src/placement/placement_types.h
+++ b/src/placement/placement_types.h
@@ -37,6 +37,13 @@
     std::size_t max_remembered_objects = 64; //!< per upstream, as handled there lately
 };
 
+//! An entry instance that is registered or was heard from, live or not.
+struct known_instance
+{
+    instance_id id;
+    region_id region;
+};
+
 struct placement_request
 {
     service_id service;
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -3,48 +3,13 @@
 #include <catch2/catch.hpp>
 
 #include "placement/upstream_picker.h"
+#include "placement_fixtures.h"
 
 using namespace buckthornhill;
 using namespace buckthornhill::placement;
 using std::chrono::milliseconds;
 
 namespace {
-const service_id orders("orders");
-const place here{region_id("r1"), domain_id("d1")};
-
-fleet::upstream_entry make_entry(int number, std::int64_t slots = 4, const place& where = here)
-{
-    fleet::upstream_entry entry;
-    entry.id = upstream_id("u" + std::to_string(number));
-    entry.started_at_ms = 1;
-    entry.service = orders;
-    entry.address = "10.0.0.1:80";
-    entry.where = where;
-    entry.slots = slot_count(slots);
-    return entry;
-}
-
-fleet::upstream_roster make_roster(int count, std::int64_t slots = 4)
-{
-    fleet::upstream_roster roster{fleet::roster_configuration{}};
-    for (int i = 0; i < count; ++i) {
-        roster.upsert(time_point{}, make_entry(i, slots));
-    }
-    return roster;
-}
-
-placement_request request_for(std::uint64_t object, int priority = 1)
-{
-    placement_request request;
-    request.service = orders;
-    request.route = "route";
-    request.object = object_hash(object);
-    request.has_affinity = true;
-    request.priority = priority;
-    request.objective = milliseconds(400);
-    return request;
-}
-
 //! Picks an upstream and records the request as sent to it.
 placement_choice send(upstream_picker& picker, const fleet::upstream_roster& roster, time_point now,
                       const placement_request& request)
@@ -287,11 +252,11 @@
 }
 
 namespace {
-std::vector<instance_id> make_instances(std::size_t count)
+std::vector<known_instance> make_instances(std::size_t count)
 {
-    std::vector<instance_id> instances;
+    std::vector<known_instance> instances;
     for (std::size_t i = 0; i < count; ++i) {
-        instances.emplace_back("entry-" + std::to_string(i));
+        instances.push_back({instance_id("entry-" + std::to_string(i)), here.region});
     }
     return instances;
 }
@@ -299,11 +264,11 @@
 //! Times at which the instances send when each sends as much as it may. `known_to(i)` are the instances that
 //! instance `i` knows.
 std::vector<time_point> send_all(std::size_t count, double rate, std::chrono::seconds length,
-                                 const std::function<std::vector<instance_id>(std::size_t)>& known_to)
+                                 const std::function<std::vector<known_instance>(std::size_t)>& known_to)
 {
     std::vector<cold_upstream_limiter> limiters;
     for (const auto& instance : make_instances(count)) {
-        limiters.emplace_back(instance);
+        limiters.emplace_back(instance.id);
     }
     const upstream_id upstream("u1");
     std::vector<time_point> sent;
@@ -352,7 +317,7 @@
     int calls = 0;
     const auto sent = send_all(9, 8.0, std::chrono::seconds(10), [&](std::size_t i) {
         const bool is_start = ++calls <= 9;
-        return is_start ? known : std::vector<instance_id>{known[i]};
+        return is_start ? known : std::vector<known_instance>{known[i]};
     });
     CHECK(most_in_a_second(sent) <= 8);
 }
@@ -407,9 +372,10 @@
 {
     const auto roster = make_roster(624);
     object_ranking ranking;
+    region_plan plan(here.region);
     for (std::uint64_t object = 0; object < 50; ++object) {
-        const auto& first = ranking.top_ranked(roster, orders, object_hash(object));
-        const auto all = object_ranking::full_ranking(roster, orders, object_hash(object));
+        const auto& first = ranking.top_ranked(roster, plan, orders, object_hash(object));
+        const auto all = object_ranking::full_ranking(roster, plan, orders, object_hash(object));
         REQUIRE(first.size() == object_ranking::max_top_ranked);
         CHECK(all.size() == 624);
         CHECK(std::equal(first.begin(), first.end(), all.begin()));
@@ -421,7 +387,8 @@
 {
     const auto roster = make_roster(100);
     upstream_picker picker(instance_id("i1"), here, {});
-    const auto order = object_ranking::full_ranking(roster, orders, object_hash(7));
+    region_plan plan(here.region);
+    const auto order = object_ranking::full_ranking(roster, plan, orders, object_hash(7));
     const time_point start{};
     for (std::size_t i = 0; i + 1 < order.size(); ++i) {
         const auto choice = send(picker, roster, start, request_for(7));
--- a/src/placement/upstream_picker.cpp
+++ b/src/placement/upstream_picker.cpp
@@ -17,6 +17,7 @@
 upstream_picker::upstream_picker(instance_id self_id, place where, const placement_configuration& settings)
     : self(std::move(where))
     , configuration(settings)
+    , plan(this->self.region)
     , cold_limiter(std::move(self_id))
 {
 }
@@ -110,12 +111,12 @@
                                        const placement_request& request)
 {
     placement_choice best;
-    const auto& first = this->ranking.top_ranked(roster, request.service, request.object);
+    const auto& first = this->ranking.top_ranked(roster, this->plan, request.service, request.object);
     if (this->search(now, roster, request, first, 0, best) ||
         first.size() == roster.usable(request.service).size()) {
         return best;
     }
-    const auto all = object_ranking::full_ranking(roster, request.service, request.object);
+    const auto all = object_ranking::full_ranking(roster, this->plan, request.service, request.object);
     this->search(now, roster, request, all, first.size(), best);
     return best;
 }
--- a/src/placement/upstream_picker.h
+++ b/src/placement/upstream_picker.h
@@ -5,6 +5,7 @@
 
 #include "placement/cold_upstream_limiter.h"
 #include "placement/object_ranking.h"
+#include "placement/region_plan.h"
 #include "placement/upstream_load.h"
 #include "placement/work_times.h"
 
@@ -24,9 +25,10 @@
     void on_finished(time_point now, const placement_request& request, const placement_choice& choice,
                      upstream_attempt_result result, duration took);
     void on_report(time_point now, const upstream_id& upstream, const load_report& report);
-    void set_instances(time_point now, const std::vector<instance_id>& known)
+    void set_instances(time_point now, const std::vector<known_instance>& known)
     {
         this->cold_limiter.set_instances(now, known);
+        this->plan.set_instances(now, known);
     }
     void on_tick(time_point now, const fleet::upstream_roster& roster);
 
@@ -48,6 +50,7 @@
 
     place self;
     placement_configuration configuration;
+    region_plan plan;
     object_ranking ranking;
     cold_upstream_limiter cold_limiter;
     std::unordered_map<upstream_id, upstream_load> loads;
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -64,7 +64,8 @@
     return is_accepted;
 }
 
-void proxy_core::set_instances(time_point now, std::size_t live, const std::vector<instance_id>& known)
+void proxy_core::set_instances(time_point now, std::size_t live,
+                               const std::vector<placement::known_instance>& known)
 {
     this->live_instances = std::max<std::size_t>(1, live);
     this->picker.set_instances(now, known);
--- a/src/proxy/proxy_core.h
+++ b/src/proxy/proxy_core.h
@@ -31,7 +31,7 @@
     //! Limits that hold for all instances together are divided among them: the retry budget by the number of
     //! `live` instances, this one included, and the rate to cold upstreams among the `known` instances, live
     //! or not.
-    void set_instances(time_point now, std::size_t live, const std::vector<instance_id>& known);
+    void set_instances(time_point now, std::size_t live, const std::vector<placement::known_instance>& known);
 
     void set_retry_budget(double ratio, double burst);
     //! Returns whether the configuration is newer than the one in force.
