--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -249,6 +249,27 @@
     CHECK_FALSE(health->is_ejected(now));
 }
 
+TEST_CASE("[GIVEN] an object warm at two upstreams [WHEN] one is a little late [THEN] the object stays there",
+          "[placement][pattern: queues vary over a pool with warm objects]")
+{
+    const auto roster = make_roster(3);
+    upstream_picker picker(instance_id("i1"), here, {});
+    const auto request = request_for(1);
+    const time_point now{std::chrono::seconds(100)};
+    const auto home = picker.pick(now, roster, request).upstream;
+    auto elsewhere = request;
+    elsewhere.excluded_upstreams.push_back(home);
+    const auto second = send(picker, roster, now, elsewhere);
+    picker.on_finished(now, elsewhere, second, upstream_attempt_result::answered, milliseconds(600));
+    for (int i = 0; i < 10; ++i) {
+        const auto choice = send(picker, roster, now, request);
+        CHECK(choice.upstream == home);
+        picker.on_finished(now, request, choice, upstream_attempt_result::answered,
+                           choice.expected_latency * 8 / 5);
+    }
+    CHECK(picker.pick(now, roster, request).upstream == home);
+}
+
 TEST_CASE(
     "[GIVEN] an upstream that became slow [WHEN] responses are late [THEN] objects move away for a while",
     "[placement][pattern: upstreams turn slow]")
--- a/src/placement/upstream_load.cpp
+++ b/src/placement/upstream_load.cpp
@@ -8,6 +8,8 @@
 constexpr double health_smoothing_factor = 0.2; //!< averages over about the last five responses
 constexpr double min_slowness = 0.3;
 constexpr double max_slowness = 10.0;
+//! Smaller differences come from queues and cold objects; objects would move back and forth and grow cold.
+constexpr double min_relevant_slowness = 2.0;
 
 double fraction(duration part, duration whole)
 {
@@ -25,11 +27,17 @@
     return std::exp2(-fraction(now - this->health_updated_at, this->configuration->health_half_life));
 }
 
-double upstream_load::slowness(time_point now) const
+double upstream_load::average_slowness(time_point now) const
 {
     return 1 + (this->recent_slowness - 1) * this->health_weight(now);
 }
 
+double upstream_load::slowness(time_point now) const
+{
+    const double average = this->average_slowness(now);
+    return average < min_relevant_slowness ? 1 : average;
+}
+
 double upstream_load::failure_share(time_point now) const
 {
     return this->recent_failure_share * this->health_weight(now);
@@ -48,14 +56,13 @@
     this->ejected_until = now + ejection_time;
 }
 
-void upstream_load::on_finished(time_point now, upstream_attempt_result result, duration took,
-                                duration expected)
+void upstream_load::on_finished(time_point now, upstream_attempt_result result, duration took, duration usual)
 {
     --this->in_flight;
     if (result == upstream_attempt_result::cancelled) {
         return;
     }
-    const double current_slowness = this->slowness(now);
+    const double current_slowness = this->average_slowness(now);
     const double current_failure_share = this->failure_share(now);
     const bool is_answered = result == upstream_attempt_result::answered;
     this->health_updated_at = now;
@@ -63,7 +70,7 @@
         current_failure_share + ((is_answered ? 0.0 : 1.0) - current_failure_share) * health_smoothing_factor;
     this->recent_slowness = current_slowness;
     if (is_answered) {
-        const double ratio = std::clamp(fraction(took, expected), min_slowness, max_slowness);
+        const double ratio = std::clamp(fraction(took, usual), min_slowness, max_slowness);
         this->recent_slowness = current_slowness + (ratio - current_slowness) * health_smoothing_factor;
         this->failures_in_a_row = 0;
         this->ejections_in_a_row = 0;
--- a/src/placement/upstream_load.h
+++ b/src/placement/upstream_load.h
@@ -18,8 +18,8 @@
     }
 
     void on_sent();
-    //! `took` and `expected` are the measured and the expected time until the response.
-    void on_finished(time_point now, upstream_attempt_result result, duration took, duration expected);
+    //! `took` is the time until the response, `usual` the one expected of an upstream that is not slow.
+    void on_finished(time_point now, upstream_attempt_result result, duration took, duration usual);
     void on_report(time_point now, const load_report& report);
     void record_object(object_hash object);
     bool handled_recently(object_hash object) const { return this->recent_object_positions.contains(object); }
@@ -30,7 +30,7 @@
     bool is_ejected(time_point now) const;
     //! The upstream rejected a request, and has neither answered one nor reported a free slot since.
     bool is_at_capacity(time_point now) const { return now < this->at_capacity_until; }
-    //! Moving average of measured time divided by expected time; 1 when nothing is known.
+    //! Moving average of measured time divided by expected time; 1 unless the upstream is clearly slow.
     double slowness(time_point now) const;
     //! Moving average of the share of requests that did not succeed.
     double failure_share(time_point now) const;
@@ -39,6 +39,7 @@
 private:
     //! Weight of the stored health averages; it halves with each `health_half_life`.
     double health_weight(time_point now) const;
+    double average_slowness(time_point now) const;
     void record_failure(time_point now, bool eject_at_once);
 
     const placement_configuration* configuration;
--- a/src/placement/upstream_picker.cpp
+++ b/src/placement/upstream_picker.cpp
@@ -97,13 +97,15 @@
     //! NOTE The first choice counts as warm because all other instances send requests for the object there
     //! too.
     choice.is_warm = !request.has_affinity || is_first_choice || load.handled_recently(request.object);
-    choice.expected_work =
-        scaled(choice.is_warm ? route_times.warm() : route_times.cold(), load.slowness(now));
+    const auto usual_work = choice.is_warm ? route_times.warm() : route_times.cold();
+    choice.expected_work = scaled(usual_work, load.slowness(now));
     const double queue_ahead = std::max(0.0, estimated_load + 1 - slots) / slots;
     choice.expected_latency = choice.expected_work +
                               scaled(route_times.warm(), queue_ahead * load.slowness(now)) +
                               this->round_trip(entry.where) +
                               scaled(choice.expected_work, failure_cost_factor * load.failure_share(now));
+    choice.usual_latency =
+        usual_work + scaled(route_times.warm(), queue_ahead) + this->round_trip(entry.where);
     choice.cost = choice.expected_latency;
     if (!choice.is_warm) {
         choice.cost += scaled(route_times.cold() - route_times.warm(), cold_delay_factor);
@@ -172,7 +174,7 @@
         return;
     }
     auto& load = found->second;
-    load.on_finished(now, result, took, choice.expected_latency);
+    load.on_finished(now, result, took, choice.usual_latency);
     if (result != upstream_attempt_result::answered) {
         return;
     }
