Look up the plan of the regions once for a ranking, and survive a moved upstream

Cause: an upstream that registers again in another region does not change the list of usable ones, so the plan lacked its region and the look-up threw. Found by reading; the new test failed first. Besides, each ranking looked the plan up for each upstream of the pool. Change: a ranking takes the weights of all regions once; a region that they lack counts as average. The plan without known instances is empty instead of a special case in its loop.

--- a/src/placement/object_ranking.cpp
+++ b/src/placement/object_ranking.cpp
@@ -24,12 +24,15 @@
                               const service_id& service, object_hash object, std::size_t count)
 {
     const auto& usable = roster.usable(service);
+    const auto& slot_weights = plan.slot_weights(roster, service);
     std::vector<std::pair<double, const upstream_id*>> scored;
     scored.reserve(usable.size());
     for (const auto& id : usable) {
         const auto& entry = roster.find_usable(id)->entry;
         const auto slots = static_cast<double>(std::max<std::int64_t>(1, entry.slots.value()));
-        const auto slot_weight = plan.slot_weight(roster, service, entry.where.region);
+        //! NOTE An upstream that registers again may have moved to a region that the weights do not have yet.
+        const auto found = slot_weights.find(entry.where.region);
+        const double slot_weight = found == slot_weights.end() ? 1 : found->second;
         const auto weight = rendezvous_weight(hash_text(id.str()), object.value());
         scored.emplace_back(std::log(unit_interval(weight)) / (slots * slot_weight), &id);
     }
--- a/src/placement/region_plan.cpp
+++ b/src/placement/region_plan.cpp
@@ -9,6 +9,16 @@
 constexpr double planned_part = 0.5;
 //! An instance that stops is usually replaced or restarted; until then its callers use others nearby.
 constexpr std::chrono::seconds instance_retention{20};
+
+std::map<region_id, double> slots_by_region(const fleet::upstream_roster& roster, const service_id& service)
+{
+    std::map<region_id, double> slots;
+    for (const auto& id : roster.usable(service)) {
+        const auto& entry = roster.find_usable(id)->entry;
+        slots[entry.where.region] += static_cast<double>(std::max<std::int64_t>(1, entry.slots.value()));
+    }
+    return slots;
+}
 } // namespace
 
 void region_plan::set_instances(time_point now, const std::vector<known_instance>& known)
@@ -29,15 +39,10 @@
     }
 }
 
-region_plan::region_weights region_plan::make_weights(const fleet::upstream_roster& roster,
-                                                      const service_id& service) const
+std::map<region_id, double> region_plan::make_weights(const std::map<region_id, double>& slots) const
 {
-    std::map<region_id, double> slots;
     double all_slots = 0;
-    for (const auto& id : roster.usable(service)) {
-        const auto& entry = roster.find_usable(id)->entry;
-        const auto count = static_cast<double>(std::max<std::int64_t>(1, entry.slots.value()));
-        slots[entry.where.region] += count;
+    for (const auto& [region, count] : slots) {
         all_slots += count;
     }
     //! Slots that the requests of a region fill when all slots of the pool are equally busy.
@@ -45,27 +50,23 @@
         const auto found = this->demand_shares.find(region);
         return found == this->demand_shares.end() ? 0 : found->second * all_slots;
     };
-    std::map<region_id, double> spare_slots;
+    const double own_demand = filled_by(this->own_region);
+    if (own_demand == 0) {
+        return {};
+    }
     double all_spare_slots = 0;
     for (const auto& [region, count] : slots) {
-        spare_slots[region] = std::max(0.0, count - filled_by(region));
-        all_spare_slots += spare_slots[region];
+        all_spare_slots += std::max(0.0, count - filled_by(region));
     }
     const auto own = slots.find(this->own_region);
-    const double own_slots = own == slots.end() ? 0 : own->second;
-    const double own_demand = filled_by(this->own_region);
-    const double kept = own_demand > 0 ? std::min(1.0, own_slots / own_demand) : 0;
-    region_weights result;
+    const double kept = own == slots.end() ? 0 : std::min(1.0, own->second / own_demand);
+    std::map<region_id, double> result;
     for (const auto& [region, count] : slots) {
-        if (own_demand == 0) {
-            result[region] = 1; // without known instances there is no plan
-            continue;
-        }
         double share = 0;
         if (region == this->own_region) {
             share = kept;
         } else if (all_spare_slots > 0) {
-            share = (1 - kept) * spare_slots[region] / all_spare_slots;
+            share = (1 - kept) * std::max(0.0, count - filled_by(region)) / all_spare_slots;
         }
         const double even_share = count / all_slots;
         result[region] = (1 - planned_part) + planned_part * share / even_share;
@@ -73,8 +74,8 @@
     return result;
 }
 
-double region_plan::slot_weight(const fleet::upstream_roster& roster, const service_id& service,
-                                const region_id& region)
+const std::map<region_id, double>& region_plan::slot_weights(const fleet::upstream_roster& roster,
+                                                             const service_id& service)
 {
     if (this->roster_epoch != roster.epoch()) {
         this->weights.clear();
@@ -82,8 +83,8 @@
     }
     const auto [position, is_new] = this->weights.try_emplace(service);
     if (is_new) {
-        position->second = this->make_weights(roster, service);
+        position->second = this->make_weights(slots_by_region(roster, service));
     }
-    return position->second.at(region);
+    return position->second;
 }
 } // namespace buckthornhill::placement
--- a/src/placement/region_plan.h
+++ b/src/placement/region_plan.h
@@ -21,28 +21,26 @@
     //! All instances that are registered or were heard from, with this one. Callers use instances near them,
     //! so the demand of a region is taken to be proportional to the number of its instances.
     void set_instances(time_point now, const std::vector<known_instance>& known);
-    //! Weight of a slot in `region` when the upstreams of an object are ranked, relative to the mean of all
-    //! slots of the service.
-    double slot_weight(const fleet::upstream_roster& roster, const service_id& service,
-                       const region_id& region);
+    //! Weight of a slot in each region when the upstreams of an object are ranked, relative to the mean of
+    //! all slots of the service; 1 in regions that are missing. Valid until the next call.
+    const std::map<region_id, double>& slot_weights(const fleet::upstream_roster& roster,
+                                                    const service_id& service);
     //! Increases when the weights change without a change of the roster.
     std::uint64_t epoch() const { return this->plan_epoch; }
 
 private:
-    using region_weights = std::map<region_id, double>;
-
     struct retained_instance
     {
         region_id region;
         time_point last_known_at;
     };
 
-    region_weights make_weights(const fleet::upstream_roster& roster, const service_id& service) const;
+    std::map<region_id, double> make_weights(const std::map<region_id, double>& slots) const;
 
     region_id own_region;
     std::map<instance_id, retained_instance> instances;
     std::map<region_id, double> demand_shares; //!< of the requests of all regions
-    std::map<service_id, region_weights> weights;
+    std::map<service_id, std::map<region_id, double>> weights;
     std::uint64_t roster_epoch = 0; //!< of the roster that `weights` were made for
     std::uint64_t plan_epoch = 0;
 };
--- a/src/placement/tests/region_plan_tests.cpp
+++ b/src/placement/tests/region_plan_tests.cpp
@@ -109,3 +109,18 @@
     CHECK(counts.at(north.region) > 400);
     CHECK(counts.at(south.region) > 400);
 }
+
+TEST_CASE("[GIVEN] a plan of the regions [WHEN] an upstream registers again elsewhere [THEN] it stays in use",
+          "[placement][pattern: upstreams come back under their id in another region]")
+{
+    auto roster = make_uneven_roster();
+    upstream_picker picker(instance_id("i0"), north, {});
+    picker.set_instances(time_point{}, make_even_instances());
+    REQUIRE_FALSE(picker.pick(time_point{}, roster, request_for(0)).upstream.empty());
+    for (int i = 0; i < 22; ++i) {
+        roster.upsert(time_point{}, make_entry(i, 5, {region_id("r4"), domain_id("d4")}));
+    }
+    for (std::uint64_t object = 1; object < 100; ++object) {
+        CHECK_FALSE(picker.pick(time_point{}, roster, request_for(object)).upstream.empty());
+    }
+}
