--- a/src/placement/placement_types.h
+++ b/src/placement/placement_types.h
@@ -65,8 +65,8 @@
     bool is_warm = false;        //!< is expected to have handled the object lately
     duration expected_latency{}; //!< until the response: queue, work, distance and cost of likely failures
     duration expected_work{};    //!< part of `expected_latency` in which the upstream works on the request
-    duration usual_latency{};    //!< the same at an upstream that is neither slow nor failing
-    duration cost{}; //!< `expected_latency` and what the use of this upstream costs later requests
+    duration usual_latency{};    //!< `expected_latency` of an upstream that is neither slow nor failing
+    duration cost{};             //!< `expected_latency` and the delay that cold work causes to later requests
 };
 
 //! Load of an upstream by its own report, over the requests of all instances.
--- a/src/placement/region_plan.h
+++ b/src/placement/region_plan.h
@@ -18,8 +18,9 @@
     {
     }
 
-    //! All instances that are registered or were heard from, with this one. Callers use instances near them,
-    //! so the demand of a region is taken to be proportional to the number of its instances.
+    //! `known` are all instances, this one included. Callers use instances near them, so the demand of a
+    //! region is taken to be proportional to the number of its instances. An instance that is no longer known
+    //! counts for some seconds more.
     void set_instances(time_point now, const std::vector<known_instance>& known);
     //! Weight of a slot in each region when the upstreams of an object are ranked, relative to the mean of
     //! all slots of the service; 1 in regions that are missing. Valid until the next call.
--- a/src/placement/upstream_picker.cpp
+++ b/src/placement/upstream_picker.cpp
@@ -94,8 +94,8 @@
     const double estimated_load = load.estimated_requests(now);
     placement_choice choice;
     choice.upstream = id;
-    //! NOTE The first choice counts as warm because all other instances send requests for the object there
-    //! too.
+    //! NOTE The first choice counts as warm because the other instances of the region send requests for the
+    //! object there too.
     choice.is_warm = !request.has_affinity || is_first_choice || load.handled_recently(request.object);
     const auto usual_work = choice.is_warm ? route_times.warm() : route_times.cold();
     choice.expected_work = scaled(usual_work, load.slowness(now));
