Say timeout for the time limit of a store call

Cause: the comment used the users' word where the field has its own. Result: a comment only; the formatter reports nothing.

--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -35,7 +35,7 @@
 {
     //! Duration of one long poll, and so the longest time for which its connection is silent.
     std::chrono::milliseconds wait{15000};
-    //! Time limit for a response, in addition to the duration of the long poll.
+    //! Timeout of a response, in addition to the duration of the long poll.
     std::chrono::milliseconds call_timeout{2000};
     std::chrono::milliseconds min_backoff{150}; //!< after a failed call; doubles up to the maximum
     std::chrono::milliseconds max_backoff{1200};
