--- /dev/null
+++ b/review/support/backend.cpp
@@ -0,0 +1,175 @@
+#include "backend.h"
+
+namespace buckthornhill::review {
+namespace json = boost::json;
+
+namespace {
+constexpr std::chrono::seconds idle_timeout{10};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_unavailable = 503;
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::uint64_t wall_clock_ms()
+{
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(wall).count());
+}
+} // namespace
+
+std::size_t arrival_book::add(const arrival& added)
+{
+    const std::lock_guard lock(this->guard);
+    this->arrivals.push_back(added);
+    return this->arrivals.size() - 1;
+}
+
+void arrival_book::set_run(std::size_t index)
+{
+    const std::lock_guard lock(this->guard);
+    this->arrivals[index].has_run = true;
+}
+
+void arrival_book::set_answered(std::size_t index)
+{
+    const std::lock_guard lock(this->guard);
+    this->arrivals[index].is_answered = true;
+}
+
+std::vector<arrival> arrival_book::all() const
+{
+    const std::lock_guard lock(this->guard);
+    return this->arrivals;
+}
+
+backend::backend(const backend_options& options, unsigned short port, arrival_book& arrivals)
+    : settings(options)
+    , book(arrivals)
+    , born_ms(wall_clock_ms())
+{
+    this->server = std::make_unique<listener>(settings.ip, port,
+                                              [this](channel& connection) { this->serve(connection); });
+}
+
+backend::~backend()
+{
+    this->stop();
+    this->server.reset();
+}
+
+json::value backend::entry(bool is_leaving) const
+{
+    return json::object{
+        {"address", this->local().str()},
+        {"born", this->born_ms},
+        {"info",
+         {{"service_ref", this->settings.service.str()},
+          {"config_version", "v1"},
+          {"zone", this->settings.domain.str()},
+          {"capacity", this->settings.slots}}},
+        {"status", {{"phase", is_leaving ? "draining" : "ready"}, {"sequence", 1}, {"cold_left", "0ms"}}}};
+}
+
+void backend::stop()
+{
+    {
+        const std::lock_guard lock(this->guard);
+        this->is_stopped = true;
+    }
+    this->changed.notify_all();
+    this->server->stop();
+}
+
+void backend::serve(channel& connection)
+{
+    message request;
+    while (connection.read_request(request, now() + idle_timeout) == read_status::complete) {
+        message response;
+        if (!this->handle(request, response)) {
+            connection.reset_on_close();
+            return;
+        }
+        if (!connection.write_response(response)) {
+            return;
+        }
+        request = message{};
+    }
+}
+
+void backend::reject(const message& request, unsigned status, message& response) const
+{
+    response.status = status;
+    response.headers = {{"Request-Id", request.header("Request-Id")},
+                        {"Not-Executed", "1"},
+                        {"Instance-Id", this->settings.id.str()}};
+}
+
+bool backend::handle(const message& request, message& response)
+{
+    const auto expected = request.header("Expected-Instance");
+    if (!expected.empty() && expected != this->settings.id.str()) {
+        this->reject(request, status_misdirected, response);
+        return true;
+    }
+    const auto index = this->book.add({request.header("Request-Id"), request.target, this->settings.id,
+                                       this->settings.service, now(), false, false});
+    const auto time_left = request.header("Request-Deadline");
+    const auto deadline = now() + milliseconds(time_left.empty() ? 5000 : std::stoi(time_left));
+    {
+        std::unique_lock lock(this->guard);
+        if (this->running >= this->settings.slots && this->waiting >= this->settings.queue) {
+            this->reject(request, status_unavailable, response);
+            return true;
+        }
+        ++this->waiting;
+        const bool has_slot = this->changed.wait_until(
+            lock, deadline, [this] { return this->is_stopped || this->running < this->settings.slots; });
+        --this->waiting;
+        if (this->is_stopped) {
+            return false;
+        }
+        if (!has_slot) {
+            this->reject(request, status_unavailable, response);
+            return true;
+        }
+        ++this->running;
+    }
+    const bool is_done = this->run(request, index, response);
+    {
+        const std::lock_guard lock(this->guard);
+        --this->running;
+    }
+    this->changed.notify_all();
+    return is_done;
+}
+
+bool backend::run(const message& request, std::size_t index, message& response)
+{
+    this->book.set_run(index);
+    const bool crashes =
+        !this->settings.crashing_path.empty() && request.path() == this->settings.crashing_path;
+    if (crashes) {
+        this->stop();
+        if (this->crashed) {
+            this->crashed();
+        }
+        return false;
+    }
+    std::unique_lock lock(this->guard);
+    if (this->changed.wait_for(lock, this->settings.work, [this] { return this->is_stopped; })) {
+        return false;
+    }
+    response.status = status_ok;
+    response.headers = {{"Request-Id", request.header("Request-Id")},
+                        {"Response-Signature", this->settings.id.str() + "." + request.header("Request-Id")},
+                        {"Backend-Load", std::to_string(this->running) + "," + std::to_string(this->waiting) +
+                                             "," + std::to_string(this->settings.slots)}};
+    response.body = request.method + " " + request.target + " " + request.header("Request-Id");
+    this->book.set_answered(index);
+    return true;
+}
+} // namespace buckthornhill::review
--- /dev/null
+++ b/review/support/store.cpp
@@ -0,0 +1,241 @@
+#include "store.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace buckthornhill::review {
+namespace json = boost::json;
+
+namespace {
+constexpr std::string_view objects_path = "/api/objects/";
+constexpr std::chrono::seconds idle_limit{300};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+
+std::uint64_t number_of(const std::string& text)
+{
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+void set_body(message& response, unsigned status, const json::value& body)
+{
+    response.status = status;
+    response.headers = {{"Content-Type", "application/json"}};
+    response.body = json::serialize(body);
+}
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+} // namespace
+
+store::store(const options& store_options)
+    : settings(store_options)
+{
+    this->server =
+        std::make_unique<listener>(settings.ip, 0, [this](channel& connection) { this->serve(connection); });
+}
+
+store::~store()
+{
+    {
+        const std::lock_guard lock(this->guard);
+        this->is_stopping = true;
+    }
+    this->changed.notify_all();
+    this->server.reset();
+}
+
+void store::on_page(page_hook hook)
+{
+    const std::lock_guard lock(this->guard);
+    this->page_answered = std::move(hook);
+}
+
+void store::on_watch_answer(loss_hook hook)
+{
+    const std::lock_guard lock(this->guard);
+    this->is_answer_lost = std::move(hook);
+}
+
+void store::set_object(const std::string& kind, const std::string& name, json::value spec)
+{
+    auto& kept = this->objects[kind][name];
+    const std::uint64_t created = kept.is_object()
+                                      ? kept.at("metadata").at("create_revision").to_number<std::uint64_t>()
+                                      : this->revision + 1;
+    kept = json::object{{"metadata",
+                         {{"name", name},
+                          {"revision", ++this->revision},
+                          {"create_revision", created},
+                          {"finalizers", json::array{}},
+                          {"deleting", false}}},
+                        {"spec", std::move(spec)},
+                        {"status", nullptr}};
+    this->history.push_back({this->revision, kind, kept, false});
+    this->changed.notify_all();
+}
+
+bool store::remove_object(const std::string& kind, const std::string& name)
+{
+    auto found = this->objects[kind].find(name);
+    if (found == this->objects[kind].end()) {
+        return false;
+    }
+    auto object = found->second;
+    this->objects[kind].erase(found);
+    object.at("metadata").as_object()["revision"] = ++this->revision;
+    this->history.push_back({this->revision, kind, std::move(object), true});
+    this->changed.notify_all();
+    return true;
+}
+
+time_point store::put(const std::string& kind, const std::string& name, json::value spec)
+{
+    const std::lock_guard lock(this->guard);
+    this->set_object(kind, name, std::move(spec));
+    return now();
+}
+
+time_point store::remove(const std::string& kind, const std::string& name)
+{
+    const std::lock_guard lock(this->guard);
+    this->remove_object(kind, name);
+    return now();
+}
+
+void store::cut_waiting_watches()
+{
+    const std::lock_guard lock(this->guard);
+    ++this->cuts;
+    this->changed.notify_all();
+}
+
+void store::serve(channel& connection)
+{
+    message request;
+    while (connection.read_request(request, now() + idle_limit) == read_status::complete) {
+        message response;
+        if (!this->answer(request, response) || !connection.write_response(response)) {
+            return;
+        }
+        request = message{};
+    }
+}
+
+bool store::answer(const message& request, message& response)
+{
+    std::this_thread::sleep_for(this->settings.answer_time);
+    const auto path = request.path();
+    if (!path.starts_with(objects_path)) {
+        set_body(response, status_not_found, {});
+        return true;
+    }
+    const auto object_path = path.substr(objects_path.size());
+    const auto slash = object_path.find('/');
+    const auto kind = object_path.substr(0, slash);
+    const auto name = slash == std::string::npos ? std::string() : object_path.substr(slash + 1);
+    if (request.method != "GET") {
+        this->write(request, kind, name, response);
+        return true;
+    }
+    const auto since = request.query("watch");
+    if (since.empty()) {
+        this->list(kind, request.query("after"), response);
+        return true;
+    }
+    return this->watch(kind, number_of(since),
+                       milliseconds(static_cast<std::int64_t>(number_of(request.query("wait_ms")))),
+                       response);
+}
+
+void store::list(const std::string& kind, const std::string& after, message& response)
+{
+    page_hook hook;
+    bool has_more = false;
+    {
+        const std::lock_guard lock(this->guard);
+        json::array items;
+        const auto& kept = this->objects[kind];
+        auto position = after.empty() ? kept.begin() : kept.upper_bound(after);
+        for (; position != kept.end() && items.size() < this->settings.page_items; ++position) {
+            items.push_back(position->second);
+        }
+        has_more = position != kept.end();
+        set_body(response, status_ok,
+                 json::object{{"items", std::move(items)}, {"has_more", has_more}, {"at", this->revision}});
+        hook = this->page_answered;
+    }
+    if (hook) {
+        hook(kind, has_more);
+    }
+}
+
+bool store::has_changes(const std::string& kind, std::uint64_t since) const
+{
+    return std::any_of(this->history.rbegin(), this->history.rend(), [&](const change& candidate) {
+        return candidate.kind == kind && candidate.revision > since;
+    });
+}
+
+json::object store::changes_since(const std::string& kind, std::uint64_t since) const
+{
+    json::array events;
+    for (const auto& one : this->history) {
+        if (one.kind == kind && one.revision > since) {
+            events.push_back(json::object{{"object", one.object}, {"removed", one.is_removed}});
+        }
+    }
+    return {{"events", std::move(events)}, {"at", this->revision}};
+}
+
+void store::wait_until_stopped()
+{
+    std::unique_lock lock(this->guard);
+    this->changed.wait(lock, [this] { return this->is_stopping; });
+}
+
+bool store::watch(const std::string& kind, std::uint64_t since, milliseconds wait, message& response)
+{
+    loss_hook hook;
+    {
+        std::unique_lock lock(this->guard);
+        const auto cuts_before = this->cuts;
+        const bool is_cut = this->changed.wait_for(lock, wait, [&] {
+            return this->is_stopping || this->cuts != cuts_before || this->has_changes(kind, since);
+        }) && (this->is_stopping || this->cuts != cuts_before);
+        if (is_cut) {
+            return false;
+        }
+        set_body(response, status_ok, this->changes_since(kind, since));
+        hook = this->is_answer_lost;
+    }
+    if (hook && hook(kind)) {
+        //! NOTE A channel on which a response is lost returns nothing further, and it stays open.
+        this->wait_until_stopped();
+        return false;
+    }
+    return true;
+}
+
+void store::write(const message& request, const std::string& kind, const std::string& name, message& response)
+{
+    const std::lock_guard lock(this->guard);
+    if (request.method == "DELETE") {
+        const bool existed = this->remove_object(kind, name);
+        set_body(response, existed ? status_ok : status_not_found, json::object{});
+        return;
+    }
+    const auto body = json::parse(request.body);
+    const auto object_name = std::string(body.at("metadata").at("name").as_string());
+    const bool exists = this->objects[kind].contains(object_name);
+    if (exists != (request.method == "PUT")) {
+        set_body(response, exists ? status_conflict : status_not_found, json::object{});
+        return;
+    }
+    this->set_object(kind, object_name, body.at("spec"));
+    set_body(response, status_ok, this->objects[kind][object_name]);
+}
+} // namespace buckthornhill::review
--- /dev/null
+++ b/review/support/store.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <boost/json.hpp>
+
+#include "listener.h"
+
+namespace buckthornhill::review {
+//! A stand-in for the platform's store: lists in pages, long-polling watches, unconditional writes and one
+//! revision counter.
+class store
+{
+public:
+    struct options
+    {
+        std::string ip = "127.0.0.1";
+        std::size_t page_items = 500;
+        milliseconds answer_time{4};
+    };
+    //! A page of a list was answered; `has_more` tells whether the caller has to ask for another one.
+    using page_hook = std::function<void(const std::string& kind, bool has_more)>;
+    //! Whether the answer to this watch gets lost.
+    using loss_hook = std::function<bool(const std::string& kind)>;
+
+    explicit store(const options& settings);
+    ~store();
+
+    const address& local() const { return this->server->local(); }
+    //! Returns the time at which the write took effect.
+    time_point put(const std::string& kind, const std::string& name, boost::json::value spec);
+    time_point remove(const std::string& kind, const std::string& name);
+    //! Closes the channels of the watches that wait, without an answer.
+    void cut_waiting_watches();
+    void on_page(page_hook hook);
+    void on_watch_answer(loss_hook hook);
+
+private:
+    struct change
+    {
+        std::uint64_t revision;
+        std::string kind;
+        boost::json::value object;
+        bool is_removed;
+    };
+
+    void serve(channel& connection);
+    //! False when the channel ends or goes silent without an answer.
+    bool answer(const message& request, message& response);
+    void list(const std::string& kind, const std::string& after, message& response);
+    bool watch(const std::string& kind, std::uint64_t since, milliseconds wait, message& response);
+    void write(const message& request, const std::string& kind, const std::string& name, message& response);
+    void wait_until_stopped();
+    bool has_changes(const std::string& kind, std::uint64_t since) const;
+    boost::json::object changes_since(const std::string& kind, std::uint64_t since) const;
+    void set_object(const std::string& kind, const std::string& name, boost::json::value spec);
+    bool remove_object(const std::string& kind, const std::string& name);
+
+    options settings;
+    std::mutex guard;
+    std::condition_variable changed;
+    std::map<std::string, std::map<std::string, boost::json::value>> objects;
+    std::deque<change> history;
+    std::uint64_t revision = 1;
+    std::uint64_t cuts = 0;
+    bool is_stopping = false;
+    page_hook page_answered;
+    loss_hook is_answer_lost;
+    std::unique_ptr<listener> server;
+};
+} // namespace buckthornhill::review
