--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -18,11 +18,11 @@
     return text.empty() ? 0 : std::stoull(text);
 }
 
-void set_body(message& response, unsigned status, const json::value& body)
+void set_body(message& response, unsigned status, std::string body)
 {
     response.status = status;
     response.headers = {{"Content-Type", "application/json"}};
-    response.body = json::serialize(body);
+    response.body = std::move(body);
 }
 
 time_point now()
@@ -60,20 +60,23 @@
     this->is_answer_lost = std::move(hook);
 }
 
-void store::set_object(const std::string& kind, const std::string& name, json::value spec)
+std::string store::stored_object::text() const
+{
+    const json::object metadata{{"name", this->name},
+                                {"revision", this->revision},
+                                {"create_revision", this->created},
+                                {"finalizers", json::array{}},
+                                {"deleting", false}};
+    return R"({"metadata":)" + json::serialize(metadata) + R"(,"spec":)" + this->spec + R"(,"status":null})";
+}
+
+void store::set_object(const std::string& kind, const std::string& name, std::string spec)
 {
     auto& kept = this->objects[kind][name];
-    const std::uint64_t created = kept.is_object()
-                                      ? kept.at("metadata").at("create_revision").to_number<std::uint64_t>()
-                                      : this->revision + 1;
-    kept = json::object{{"metadata",
-                         {{"name", name},
-                          {"revision", ++this->revision},
-                          {"create_revision", created},
-                          {"finalizers", json::array{}},
-                          {"deleting", false}}},
-                        {"spec", std::move(spec)},
-                        {"status", nullptr}};
+    kept.name = name;
+    kept.revision = ++this->revision;
+    kept.created = kept.created == 0 ? kept.revision : kept.created;
+    kept.spec = std::move(spec);
     this->history.push_back({this->revision, kind, kept, false});
     this->changed.notify_all();
 }
@@ -86,16 +89,21 @@
     }
     auto object = found->second;
     this->objects[kind].erase(found);
-    object.at("metadata").as_object()["revision"] = ++this->revision;
+    object.revision = ++this->revision;
     this->history.push_back({this->revision, kind, std::move(object), true});
     this->changed.notify_all();
     return true;
 }
 
-time_point store::put(const std::string& kind, const std::string& name, json::value spec)
+time_point store::put(const std::string& kind, const std::string& name, const json::value& spec)
+{
+    return this->put_text(kind, name, json::serialize(spec));
+}
+
+time_point store::put_text(const std::string& kind, const std::string& name, const std::string& spec)
 {
     const std::lock_guard lock(this->guard);
-    this->set_object(kind, name, std::move(spec));
+    this->set_object(kind, name, spec);
     return now();
 }
 
@@ -130,7 +138,7 @@
     std::this_thread::sleep_for(this->settings.answer_time);
     const auto path = request.path();
     if (!path.starts_with(objects_path)) {
-        set_body(response, status_not_found, {});
+        set_body(response, status_not_found, "{}");
         return true;
     }
     const auto object_path = path.substr(objects_path.size());
@@ -157,15 +165,17 @@
     bool has_more = false;
     {
         const std::lock_guard lock(this->guard);
-        json::array items;
+        std::string items;
+        std::size_t count = 0;
         const auto& kept = this->objects[kind];
         auto position = after.empty() ? kept.begin() : kept.upper_bound(after);
-        for (; position != kept.end() && items.size() < this->settings.page_items; ++position) {
-            items.push_back(position->second);
+        for (; position != kept.end() && count < this->settings.page_items; ++position, ++count) {
+            items += (count == 0 ? "" : ",") + position->second.text();
         }
         has_more = position != kept.end();
         set_body(response, status_ok,
-                 json::object{{"items", std::move(items)}, {"has_more", has_more}, {"at", this->revision}});
+                 R"({"items":[)" + items + R"(],"has_more":)" + (has_more ? "true" : "false") + R"(,"at":)" +
+                     std::to_string(this->revision) + "}");
         hook = this->page_answered;
     }
     if (hook) {
@@ -180,15 +190,17 @@
     });
 }
 
-json::object store::changes_since(const std::string& kind, std::uint64_t since) const
+std::string store::changes_since(const std::string& kind, std::uint64_t since) const
 {
-    json::array events;
+    std::string events;
     for (const auto& one : this->history) {
         if (one.kind == kind && one.revision > since) {
-            events.push_back(json::object{{"object", one.object}, {"removed", one.is_removed}});
+            events += events.empty() ? "" : ",";
+            events += R"({"removed":)" + std::string(one.is_removed ? "true" : "false") + R"(,"object":)" +
+                      one.object.text() + "}";
         }
     }
-    return {{"events", std::move(events)}, {"at", this->revision}};
+    return R"({"events":[)" + events + R"(],"at":)" + std::to_string(this->revision) + "}";
 }
 
 void store::wait_until_stopped()
@@ -225,17 +237,17 @@
     const std::lock_guard lock(this->guard);
     if (request.method == "DELETE") {
         const bool existed = this->remove_object(kind, name);
-        set_body(response, existed ? status_ok : status_not_found, json::object{});
+        set_body(response, existed ? status_ok : status_not_found, "{}");
         return;
     }
     const auto body = json::parse(request.body);
     const auto object_name = std::string(body.at("metadata").at("name").as_string());
     const bool exists = this->objects[kind].contains(object_name);
     if (exists != (request.method == "PUT")) {
-        set_body(response, exists ? status_conflict : status_not_found, json::object{});
+        set_body(response, exists ? status_conflict : status_not_found, "{}");
         return;
     }
-    this->set_object(kind, object_name, body.at("spec"));
-    set_body(response, status_ok, this->objects[kind][object_name]);
+    this->set_object(kind, object_name, json::serialize(body.at("spec")));
+    set_body(response, status_ok, this->objects[kind][object_name].text());
 }
 } // namespace buckthornhill::review
--- a/review/support/store.h
+++ b/review/support/store.h
@@ -35,7 +35,9 @@
 
     const address& local() const { return this->server->local(); }
     //! Returns the time at which the write took effect.
-    time_point put(const std::string& kind, const std::string& name, boost::json::value spec);
+    time_point put(const std::string& kind, const std::string& name, const boost::json::value& spec);
+    //! The same with the text of the entry as another writer left it; it need not be JSON that can be read.
+    time_point put_text(const std::string& kind, const std::string& name, const std::string& spec);
     time_point remove(const std::string& kind, const std::string& name);
     //! Closes the channels of the watches that wait, without an answer.
     void cut_waiting_watches();
@@ -43,11 +45,20 @@
     void on_watch_answer(loss_hook hook);
 
 private:
+    struct stored_object
+    {
+        std::string name;
+        std::uint64_t created = 0;  //!< revision
+        std::uint64_t revision = 0; //!< of the last change
+        std::string spec;
+
+        std::string text() const;
+    };
     struct change
     {
         std::uint64_t revision;
         std::string kind;
-        boost::json::value object;
+        stored_object object;
         bool is_removed;
     };
 
@@ -59,14 +70,14 @@
     void write(const message& request, const std::string& kind, const std::string& name, message& response);
     void wait_until_stopped();
     bool has_changes(const std::string& kind, std::uint64_t since) const;
-    boost::json::object changes_since(const std::string& kind, std::uint64_t since) const;
-    void set_object(const std::string& kind, const std::string& name, boost::json::value spec);
+    std::string changes_since(const std::string& kind, std::uint64_t since) const;
+    void set_object(const std::string& kind, const std::string& name, std::string spec);
     bool remove_object(const std::string& kind, const std::string& name);
 
     options settings;
     std::mutex guard;
     std::condition_variable changed;
-    std::map<std::string, std::map<std::string, boost::json::value>> objects;
+    std::map<std::string, std::map<std::string, stored_object>> objects;
     std::deque<change> history;
     std::uint64_t revision = 1;
     std::uint64_t cuts = 0;
