Review case 1: a silent store leaves all gateways on old state

Cause: a long poll that a silent store has swallowed counts as one that waits, for up to 17 s (src/store/collection_watcher.cpp). A change wakes the polls of all gateways at once, so all are blind together.

--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -54,12 +54,6 @@
     this->page_answered = std::move(hook);
 }
 
-void store::on_watch_answer(loss_hook hook)
-{
-    const std::lock_guard lock(this->guard);
-    this->is_answer_lost = std::move(hook);
-}
-
 std::string store::stored_object::text() const
 {
     const json::object metadata{{"name", this->name},
@@ -114,6 +108,13 @@
     return now();
 }
 
+void store::set_silent(bool silent)
+{
+    const std::lock_guard lock(this->guard);
+    this->is_silent = silent;
+    this->changed.notify_all();
+}
+
 void store::cut_waiting_watches()
 {
     const std::lock_guard lock(this->guard);
@@ -135,6 +136,9 @@
 
 bool store::answer(const message& request, message& response)
 {
+    if (this->swallow()) {
+        return false;
+    }
     std::this_thread::sleep_for(this->settings.answer_time);
     const auto path = request.path();
     if (!path.starts_with(objects_path)) {
@@ -203,32 +207,28 @@
     return R"({"events":[)" + events + R"(],"at":)" + std::to_string(this->revision) + "}";
 }
 
-void store::wait_until_stopped()
+bool store::swallow()
 {
     std::unique_lock lock(this->guard);
+    if (!this->is_silent) {
+        return false;
+    }
     this->changed.wait(lock, [this] { return this->is_stopping; });
+    return true;
 }
 
 bool store::watch(const std::string& kind, std::uint64_t since, milliseconds wait, message& response)
 {
-    loss_hook hook;
-    {
-        std::unique_lock lock(this->guard);
-        const auto cuts_before = this->cuts;
-        const bool is_cut = this->changed.wait_for(lock, wait, [&] {
-            return this->is_stopping || this->cuts != cuts_before || this->has_changes(kind, since);
-        }) && (this->is_stopping || this->cuts != cuts_before);
-        if (is_cut) {
-            return false;
-        }
-        set_body(response, status_ok, this->changes_since(kind, since));
-        hook = this->is_answer_lost;
-    }
-    if (hook && hook(kind)) {
-        //! NOTE A channel on which a response is lost returns nothing further, and it stays open.
-        this->wait_until_stopped();
+    std::unique_lock lock(this->guard);
+    const auto cuts_before = this->cuts;
+    this->changed.wait_for(lock, wait, [&] {
+        return this->is_stopping || this->cuts != cuts_before ||
+               (!this->is_silent && this->has_changes(kind, since));
+    });
+    if (this->is_stopping || this->cuts != cuts_before) {
         return false;
     }
+    set_body(response, status_ok, this->changes_since(kind, since));
     return true;
 }
 
--- a/review/support/store.h
+++ b/review/support/store.h
@@ -27,8 +27,6 @@
     };
     //! A page of a list was answered; `has_more` tells whether the caller has to ask for another one.
     using page_hook = std::function<void(const std::string& kind, bool has_more)>;
-    //! Whether the answer to this watch gets lost.
-    using loss_hook = std::function<bool(const std::string& kind)>;
 
     explicit store(const options& settings);
     ~store();
@@ -39,10 +37,11 @@
     //! The same with the text of the entry as another writer left it; it need not be JSON that can be read.
     time_point put_text(const std::string& kind, const std::string& name, const std::string& spec);
     time_point remove(const std::string& kind, const std::string& name);
+    //! While it is silent the store reads calls and never answers them.
+    void set_silent(bool silent);
     //! Closes the channels of the watches that wait, without an answer.
     void cut_waiting_watches();
     void on_page(page_hook hook);
-    void on_watch_answer(loss_hook hook);
 
 private:
     struct stored_object
@@ -68,7 +67,8 @@
     void list(const std::string& kind, const std::string& after, message& response);
     bool watch(const std::string& kind, std::uint64_t since, milliseconds wait, message& response);
     void write(const message& request, const std::string& kind, const std::string& name, message& response);
-    void wait_until_stopped();
+    //! Waits until the store ends if it is silent; returns whether it was.
+    bool swallow();
     bool has_changes(const std::string& kind, std::uint64_t since) const;
     std::string changes_since(const std::string& kind, std::uint64_t since) const;
     void set_object(const std::string& kind, const std::string& name, std::string spec);
@@ -82,8 +82,8 @@
     std::uint64_t revision = 1;
     std::uint64_t cuts = 0;
     bool is_stopping = false;
+    bool is_silent = false;
     page_hook page_answered;
-    loss_hook is_answer_lost;
     std::unique_ptr<listener> server;
 };
 } // namespace buckthornhill::review
