--- a/review/support/backend.cpp
+++ b/review/support/backend.cpp
@@ -1,10 +1,13 @@
 #include "backend.h"
 
+#include <thread>
+
 namespace buckthornhill::review {
 namespace json = boost::json;
 
 namespace {
 constexpr std::chrono::seconds idle_timeout{10};
+constexpr milliseconds additional_bytes_delay{100}; //!< after the answer that they follow
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_unavailable = 503;
@@ -96,10 +99,23 @@
 void backend::serve(channel& connection)
 {
     message request;
-    bool are_bytes_due = false;
-    while (connection.read_request(request, now() + idle_timeout) == read_status::complete) {
+    time_point bytes_due_at{}; //!< unset when none are due
+    for (;;) {
+        const bool are_bytes_due = bytes_due_at != time_point{};
+        const auto status =
+            connection.read_request(request, are_bytes_due ? bytes_due_at : now() + idle_timeout);
+        if (are_bytes_due && (status == read_status::complete || status == read_status::timed_out)) {
+            std::this_thread::sleep_until(bytes_due_at);
+            bytes_due_at = {};
+            if (!connection.write_response(additional_response())) {
+                return;
+            }
+            if (status == read_status::timed_out) {
+                continue;
+            }
+        }
         message response;
-        if (are_bytes_due && !connection.write_response(additional_response())) {
+        if (status != read_status::complete) {
             return;
         }
         if (!this->handle(request, response)) {
@@ -109,7 +125,9 @@
         if (!connection.write_response(response)) {
             return;
         }
-        are_bytes_due = this->settings.has_additional_bytes && this->settings.has_additional_bytes();
+        if (this->settings.has_additional_bytes && this->settings.has_additional_bytes()) {
+            bytes_due_at = now() + additional_bytes_delay;
+        }
         request = message{};
     }
 }
--- a/review/support/backend.h
+++ b/review/support/backend.h
@@ -50,8 +50,7 @@
     unsigned queue = 9;
     milliseconds work{300};
     std::string crashing_path; //!< a request for this path crashes the backend that runs it
-    //! Asked after each answer: whether additional bytes follow it, at the point where the next answer on the
-    //! channel is expected.
+    //! Asked after each answer: whether additional bytes follow it, a tenth of a second later.
     std::function<bool()> has_additional_bytes;
 };
 
