--- a/review/support/load.cpp
+++ b/review/support/load.cpp
@@ -2,7 +2,7 @@
 
 namespace buckthornhill::review {
 namespace {
-constexpr std::size_t object_count = 24;
+constexpr std::size_t object_count = 240;
 }
 
 release_load::release_load(std::vector<address> targets, record& events)
