--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -90,14 +90,9 @@
 }
 
 time_point store::put(const std::string& kind, const std::string& name, const json::value& spec)
-{
-    return this->put_text(kind, name, json::serialize(spec));
-}
-
-time_point store::put_text(const std::string& kind, const std::string& name, const std::string& spec)
 {
     const std::lock_guard lock(this->guard);
-    this->set_object(kind, name, spec);
+    this->set_object(kind, name, json::serialize(spec));
     return now();
 }
 
--- a/review/support/store.h
+++ b/review/support/store.h
@@ -34,8 +34,6 @@
     const address& local() const { return this->server->local(); }
     //! Returns the time at which the write took effect.
     time_point put(const std::string& kind, const std::string& name, const boost::json::value& spec);
-    //! The same with the text of the entry as another writer left it; it need not be JSON that can be read.
-    time_point put_text(const std::string& kind, const std::string& name, const std::string& spec);
     time_point remove(const std::string& kind, const std::string& name);
     //! While it is silent the store reads calls and never answers them.
     void set_silent(bool silent);
