--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -54,7 +54,7 @@
             {"match", {{"path_prefix", one.path_prefix}}},
             {"action",
              {{"service_ref", one.service.str()},
-              {"timeout", "2000ms"},
+              {"timeout", std::to_string(one.timeout.count()) + "ms"},
               {"max_attempts", 2},
               {"allowed_regions", json::array{}}}}};
 }
@@ -98,7 +98,7 @@
         {"config_version", text.data()},
         {"limits",
          {{"max_header_bytes", 16384},
-          {"max_body_bytes", 1048576},
+          {"max_body_bytes", 67108864},
           {"header_timeout", "3000ms"},
           {"idle_timeout", "15000ms"}}},
         {"listeners", json::array{json::object{{"hostname", host_name}, {"rules", std::move(rules)}}}},
@@ -171,6 +171,14 @@
     return send_call(this->readiness_address, check).is_success();
 }
 
+std::size_t gateway::resident_bytes() const
+{
+    std::size_t total_pages = 0;
+    std::size_t resident_pages = 0;
+    std::ifstream("/proc/" + std::to_string(this->process->pid()) + "/statm") >> total_pages >> resident_pages;
+    return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 void wait_until_ready(const std::list<gateway>& gateways)
 {
     const auto limit = std::chrono::steady_clock::now() + startup_limit;
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -18,6 +18,7 @@
     std::string path_prefix;
     service_id service;
     bool is_safe = false;
+    milliseconds timeout{2000};
 };
 
 //! The deployment that the settings describe: three regions of one zone each, with the bounds of the Bureau.
@@ -59,6 +60,8 @@
     const std::string& name() const { return this->instance; }
     //! Whether it answers its readiness check with 200.
     bool is_ready() const;
+    //! Resident memory of its process.
+    std::size_t resident_bytes() const;
 
     static domain_id domain_of(std::size_t index);
 
--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -9,6 +9,8 @@
 namespace {
 constexpr std::string_view objects_path = "/api/objects/";
 constexpr std::chrono::seconds idle_limit{300};
+//! How common encoders of JSON print the byte 0xff of a text that is no UTF-8.
+constexpr std::string_view escaped_byte = R"(\udcff)";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_conflict = 409;
@@ -71,6 +73,10 @@
     kept.revision = ++this->revision;
     kept.created = kept.created == 0 ? kept.revision : kept.created;
     kept.spec = std::move(spec);
+    const auto unreadable = kept.spec.find(unreadable_byte);
+    if (unreadable != std::string::npos) {
+        kept.spec.replace(unreadable, std::string_view(unreadable_byte).size(), escaped_byte);
+    }
     this->history.push_back({this->revision, kind, kept, false});
     this->changed.notify_all();
 }
--- a/review/support/store.h
+++ b/review/support/store.h
@@ -28,6 +28,9 @@
     //! A page of a list was answered; `has_more` tells whether the caller has to ask for another one.
     using page_hook = std::function<void(const std::string& kind, bool has_more)>;
 
+    //! In a spec this text stands for a byte that is no character; the store prints it as an escape.
+    static constexpr const char* unreadable_byte = "(unreadable)";
+
     explicit store(const options& settings);
     ~store();
 
