--- a/review/support/backend.cpp
+++ b/review/support/backend.cpp
@@ -150,6 +150,10 @@
     }
     const auto index = this->book.add({request.header("Request-Id"), request.target, this->settings.id,
                                        this->settings.service, now(), false, false});
+    if (this->settings.sheds && this->settings.sheds()) {
+        this->reject(request, status_unavailable, response);
+        return true;
+    }
     const auto time_left = request.header("Request-Deadline");
     const auto deadline = now() + milliseconds(time_left.empty() ? 5000 : std::stoi(time_left));
     {
@@ -201,6 +205,10 @@
                         {"Response-Signature", this->settings.id.str() + "." + request.header("Request-Id")},
                         {"Backend-Load", std::to_string(this->running) + "," + std::to_string(this->waiting) +
                                              "," + std::to_string(this->settings.slots)}};
+    if (request.method == "HEAD") {
+        this->book.set_answered(index);
+        return true;
+    }
     response.body = request.method + " " + request.target + " " + request.header("Request-Id");
     this->book.set_answered(index);
     return true;
--- a/review/support/backend.h
+++ b/review/support/backend.h
@@ -49,6 +49,8 @@
     unsigned slots = 3;
     unsigned queue = 9;
     milliseconds work{300};
+    //! Asked at each request: whether the backend rejects it although it has room.
+    std::function<bool()> sheds;
     //! Asked at each request: how many bytes the backend reads in a second, 0 for as many as come.
     std::function<std::size_t()> read_rate;
     std::string crashing_path; //!< a request for this path crashes the backend that runs it
