--- a/review/support/backend.cpp
+++ b/review/support/backend.cpp
@@ -1,5 +1,6 @@
 #include "backend.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace buckthornhill::review {
@@ -8,6 +9,7 @@
 namespace {
 constexpr std::chrono::seconds idle_timeout{10};
 constexpr milliseconds additional_bytes_delay{100}; //!< after the answer that they follow
+constexpr std::string_view status_path = "/healthz";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_unavailable = 503;
@@ -75,6 +77,7 @@
 
 json::value backend::entry(bool is_leaving) const
 {
+    const std::lock_guard lock(this->guard);
     return json::object{
         {"address", this->local().str()},
         {"born", this->born_ms},
@@ -83,7 +86,28 @@
           {"config_version", "v1"},
           {"zone", this->settings.domain.str()},
           {"capacity", this->settings.slots}}},
-        {"status", {{"phase", is_leaving ? "draining" : "ready"}, {"sequence", 1}, {"cold_left", "0ms"}}}};
+        {"status", {{"phase", is_leaving ? "draining" : "ready"}, {"sequence", 1}, {"cold_left", std::to_string(this->cold_left().count()) + "ms"}}}};
+}
+
+milliseconds backend::cold_left() const
+{
+    return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(this->cold_until - now()));
+}
+
+void backend::turn_cold(milliseconds duration)
+{
+    const std::lock_guard lock(this->guard);
+    this->cold_until = now() + duration;
+}
+
+void backend::answer_status_check(message& response)
+{
+    const std::lock_guard lock(this->guard);
+    response.status = status_ok;
+    response.headers = {{"Instance-Id", this->settings.id.str()},
+                        {"Backend-Load", std::to_string(this->running) + "," + std::to_string(this->waiting) +
+                                             "," + std::to_string(this->settings.slots)},
+                        {"Cold-Remaining", std::to_string(this->cold_left().count()) + "ms"}};
 }
 
 void backend::stop()
@@ -143,6 +167,10 @@
 
 bool backend::handle(const message& request, message& response)
 {
+    if (request.path() == status_path) {
+        this->answer_status_check(response);
+        return true;
+    }
     const auto expected = request.header("Expected-Instance");
     if (!expected.empty() && expected != this->settings.id.str()) {
         this->reject(request, status_misdirected, response);
@@ -150,10 +178,6 @@
     }
     const auto index = this->book.add({request.header("Request-Id"), request.target, this->settings.id,
                                        this->settings.service, now(), false, false});
-    if (this->settings.sheds && this->settings.sheds()) {
-        this->reject(request, status_unavailable, response);
-        return true;
-    }
     const auto time_left = request.header("Request-Deadline");
     const auto deadline = now() + milliseconds(time_left.empty() ? 5000 : std::stoi(time_left));
     {
@@ -187,17 +211,9 @@
 bool backend::run(const message& request, std::size_t index, message& response)
 {
     this->book.set_run(index);
-    const bool crashes =
-        !this->settings.crashing_path.empty() && request.path() == this->settings.crashing_path;
-    if (crashes) {
-        this->stop();
-        if (this->crashed) {
-            this->crashed();
-        }
-        return false;
-    }
     std::unique_lock lock(this->guard);
-    if (this->changed.wait_for(lock, this->settings.work, [this] { return this->is_stopped; })) {
+    const auto work = this->settings.work * (this->cold_left().count() > 0 ? 2 : 1);
+    if (this->changed.wait_for(lock, work, [this] { return this->is_stopped; })) {
         return false;
     }
     response.status = status_ok;
@@ -205,10 +221,6 @@
                         {"Response-Signature", this->settings.id.str() + "." + request.header("Request-Id")},
                         {"Backend-Load", std::to_string(this->running) + "," + std::to_string(this->waiting) +
                                              "," + std::to_string(this->settings.slots)}};
-    if (request.method == "HEAD") {
-        this->book.set_answered(index);
-        return true;
-    }
     response.body = request.method + " " + request.target + " " + request.header("Request-Id");
     this->book.set_answered(index);
     return true;
--- a/review/support/backend.h
+++ b/review/support/backend.h
@@ -49,11 +49,8 @@
     unsigned slots = 3;
     unsigned queue = 9;
     milliseconds work{300};
-    //! Asked at each request: whether the backend rejects it although it has room.
-    std::function<bool()> sheds;
     //! Asked at each request: how many bytes the backend reads in a second, 0 for as many as come.
     std::function<std::size_t()> read_rate;
-    std::string crashing_path; //!< a request for this path crashes the backend that runs it
     //! Asked after each answer: whether additional bytes follow it, a tenth of a second later.
     std::function<bool()> has_additional_bytes;
 };
@@ -62,8 +59,6 @@
 class backend
 {
 public:
-    using crash_hook = std::function<void()>;
-
     backend(const backend_options& settings, unsigned short port, arrival_book& book);
     ~backend();
     backend(const backend&) = delete;
@@ -75,8 +70,8 @@
     boost::json::value entry(bool is_leaving) const;
     //! Ends at once: open channels are reset and new ones refused.
     void stop();
-    //! `hook` is called when a request crashed the backend.
-    void on_crash(crash_hook hook) { this->crashed = std::move(hook); }
+    //! From now on it is cold for this time: work takes twice as long.
+    void turn_cold(milliseconds duration);
 
 private:
     void serve(channel& connection);
@@ -84,15 +79,17 @@
     bool handle(const message& request, message& response);
     bool run(const message& request, std::size_t index, message& response);
     void reject(const message& request, unsigned status, message& response) const;
+    void answer_status_check(message& response);
+    milliseconds cold_left() const;
 
     backend_options settings;
     arrival_book& book;
     std::uint64_t born_ms;
-    crash_hook crashed;
-    std::mutex guard;
+    mutable std::mutex guard;
     std::condition_variable changed;
     unsigned running = 0;
     unsigned waiting = 0;
+    time_point cold_until{};
     bool is_stopped = false;
     std::unique_ptr<listener> server;
 };
--- a/review/support/channel.cpp
+++ b/review/support/channel.cpp
@@ -170,8 +170,7 @@
     }
 }
 
-read_status channel::read_message(message& received, std::string& start_line, time_point deadline,
-                                  bool has_body)
+read_status channel::read_message(message& received, std::string& start_line, time_point deadline)
 {
     auto end = this->buffer.find(head_end);
     while (end == std::string::npos) {
@@ -183,7 +182,7 @@
     }
     this->parse_headers(this->buffer.substr(0, end), received, start_line);
     const auto length_text = received.header("Content-Length");
-    const std::size_t length = length_text.empty() || !has_body ? 0 : std::stoul(length_text);
+    const std::size_t length = length_text.empty() ? 0 : std::stoul(length_text);
     const auto body = end + head_end.size();
     while (this->buffer.size() < body + length) {
         const auto status = this->read_more(deadline);
@@ -209,18 +208,13 @@
     return status;
 }
 
-read_status channel::read_response(message& response, time_point deadline, const std::string& method)
+read_status channel::read_response(message& response, time_point deadline)
 {
     std::string start_line;
-    const auto status = this->read_message(response, start_line, deadline, method != "HEAD");
-    if (status != read_status::complete) {
-        return status;
-    }
-    if (start_line.starts_with("HTTP/1.1 ")) {
-        response.status = static_cast<unsigned>(std::stoul(start_line.substr(start_line.find(' ') + 1)));
-    } else {
-        response.status = 0;
-        response.body = start_line;
+    const auto status = this->read_message(response, start_line, deadline);
+    const auto first = start_line.find(' ');
+    if (status == read_status::complete && first != std::string::npos) {
+        response.status = static_cast<unsigned>(std::stoul(start_line.substr(first + 1)));
     }
     return status;
 }
--- a/review/support/channel.h
+++ b/review/support/channel.h
@@ -55,8 +55,7 @@
     bool write_request(const message& request);
     bool write_response(const message& response);
     read_status read_request(message& request, time_point deadline);
-    //! The status is 0 if what came is no response in the protocol; its first line is then in the body.
-    read_status read_response(message& response, time_point deadline, const std::string& method = "GET");
+    read_status read_response(message& response, time_point deadline);
     //! Reads no faster than this from now on; 0 lifts the limit.
     void set_read_rate(std::size_t bytes_per_second) { this->read_rate = bytes_per_second; }
     //! The destructor then resets the connection instead of closing it in order.
@@ -66,8 +65,7 @@
 
 private:
     bool write(const std::string& bytes) const;
-    read_status read_message(message& received, std::string& start_line, time_point deadline,
-                             bool has_body = true);
+    read_status read_message(message& received, std::string& start_line, time_point deadline);
     read_status read_more(time_point deadline);
     void parse_headers(const std::string& head, message& received, std::string& start_line) const;
 
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -91,7 +91,7 @@
                                             {"protocol", "h1"},
                                             {"tls", false},
                                             {"cold_start", "3s"},
-                                            {"cold_per_s", 2.9}});
+                                            {"cold_per_s", cold_rate}});
         }
     }
     return json::object{
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -27,8 +27,12 @@
     milliseconds stable_window{3000};
     milliseconds drain{2000};
     milliseconds config_apply{2000};
+    double cold_load_factor = 1.5;
+    std::size_t cold_slack = 5;
 };
 
+//! `cold_per_s` of each service.
+inline constexpr double cold_rate = 8;
 inline constexpr const char* host_name = "stalls.example";
 
 //! Paths and mode that `run.sh` passes on.
--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -14,6 +14,7 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_conflict = 409;
+constexpr unsigned status_unavailable = 503;
 
 std::uint64_t number_of(const std::string& text)
 {
@@ -50,12 +51,6 @@
     this->server.reset();
 }
 
-void store::on_page(page_hook hook)
-{
-    const std::lock_guard lock(this->guard);
-    this->page_answered = std::move(hook);
-}
-
 std::string store::stored_object::text() const
 {
     const json::object metadata{{"name", this->name},
@@ -116,10 +111,10 @@
     this->changed.notify_all();
 }
 
-void store::cut_waiting_watches()
+void store::set_busy(bool busy)
 {
     const std::lock_guard lock(this->guard);
-    ++this->cuts;
+    this->is_busy = busy;
     this->changed.notify_all();
 }
 
@@ -141,6 +136,9 @@
         return false;
     }
     std::this_thread::sleep_for(this->settings.answer_time);
+    if (this->refuse(response)) {
+        return true;
+    }
     const auto path = request.path();
     if (!path.starts_with(objects_path)) {
         set_body(response, status_not_found, "{}");
@@ -166,26 +164,17 @@
 
 void store::list(const std::string& kind, const std::string& after, message& response)
 {
-    page_hook hook;
-    bool has_more = false;
-    {
-        const std::lock_guard lock(this->guard);
-        std::string items;
-        std::size_t count = 0;
-        const auto& kept = this->objects[kind];
-        auto position = after.empty() ? kept.begin() : kept.upper_bound(after);
-        for (; position != kept.end() && count < this->settings.page_items; ++position, ++count) {
-            items += (count == 0 ? "" : ",") + position->second.text();
-        }
-        has_more = position != kept.end();
-        set_body(response, status_ok,
-                 R"({"items":[)" + items + R"(],"has_more":)" + (has_more ? "true" : "false") + R"(,"at":)" +
-                     std::to_string(this->revision) + "}");
-        hook = this->page_answered;
-    }
-    if (hook) {
-        hook(kind, has_more);
+    const std::lock_guard lock(this->guard);
+    std::string items;
+    std::size_t count = 0;
+    const auto& kept = this->objects[kind];
+    auto position = after.empty() ? kept.begin() : kept.upper_bound(after);
+    for (; position != kept.end() && count < this->settings.page_items; ++position, ++count) {
+        items += (count == 0 ? "" : ",") + position->second.text();
     }
+    set_body(response, status_ok,
+             R"({"items":[)" + items + R"(],"has_more":)" + (position == kept.end() ? "false" : "true") +
+                 R"(,"at":)" + std::to_string(this->revision) + "}");
 }
 
 bool store::has_changes(const std::string& kind, std::uint64_t since) const
@@ -218,17 +207,29 @@
     return true;
 }
 
+bool store::refuse(message& response)
+{
+    const std::lock_guard lock(this->guard);
+    if (this->is_busy) {
+        set_body(response, status_unavailable, "{}");
+    }
+    return this->is_busy;
+}
+
 bool store::watch(const std::string& kind, std::uint64_t since, milliseconds wait, message& response)
 {
     std::unique_lock lock(this->guard);
-    const auto cuts_before = this->cuts;
     this->changed.wait_for(lock, wait, [&] {
-        return this->is_stopping || this->cuts != cuts_before ||
+        return this->is_stopping || this->is_busy ||
                (!this->is_silent && this->has_changes(kind, since));
     });
-    if (this->is_stopping || this->cuts != cuts_before) {
+    if (this->is_stopping) {
         return false;
     }
+    if (this->is_busy) {
+        set_body(response, status_unavailable, "{}");
+        return true;
+    }
     set_body(response, status_ok, this->changes_since(kind, since));
     return true;
 }
--- a/review/support/store.h
+++ b/review/support/store.h
@@ -25,9 +25,6 @@
         std::size_t page_items = 500;
         milliseconds answer_time{4};
     };
-    //! A page of a list was answered; `has_more` tells whether the caller has to ask for another one.
-    using page_hook = std::function<void(const std::string& kind, bool has_more)>;
-
     //! In a spec this text stands for a byte that is no character; the store prints it as an escape.
     static constexpr const char* unreadable_byte = "(unreadable)";
 
@@ -40,9 +37,8 @@
     time_point remove(const std::string& kind, const std::string& name);
     //! While it is silent the store reads calls and never answers them.
     void set_silent(bool silent);
-    //! Closes the channels of the watches that wait, without an answer.
-    void cut_waiting_watches();
-    void on_page(page_hook hook);
+    //! While it is busy the store answers each call with 503, also those that wait.
+    void set_busy(bool busy);
 
 private:
     struct stored_object
@@ -68,6 +64,8 @@
     void list(const std::string& kind, const std::string& after, message& response);
     bool watch(const std::string& kind, std::uint64_t since, milliseconds wait, message& response);
     void write(const message& request, const std::string& kind, const std::string& name, message& response);
+    //! Refuses a call if the store is busy; returns whether it is.
+    bool refuse(message& response);
     //! Waits until the store ends if it is silent; returns whether it was.
     bool swallow();
     bool has_changes(const std::string& kind, std::uint64_t since) const;
@@ -81,10 +79,9 @@
     std::map<std::string, std::map<std::string, stored_object>> objects;
     std::deque<change> history;
     std::uint64_t revision = 1;
-    std::uint64_t cuts = 0;
     bool is_stopping = false;
     bool is_silent = false;
-    page_hook page_answered;
+    bool is_busy = false;
     std::unique_ptr<listener> server;
 };
 } // namespace buckthornhill::review
