--- a/review/support/backend.cpp
+++ b/review/support/backend.cpp
@@ -78,15 +78,17 @@
 json::value backend::entry(bool is_leaving) const
 {
     const std::lock_guard lock(this->guard);
-    return json::object{
-        {"address", this->local().str()},
-        {"born", this->born_ms},
-        {"info",
-         {{"service_ref", this->settings.service.str()},
-          {"config_version", "v1"},
-          {"zone", this->settings.domain.str()},
-          {"capacity", this->settings.slots}}},
-        {"status", {{"phase", is_leaving ? "draining" : "ready"}, {"sequence", 1}, {"cold_left", std::to_string(this->cold_left().count()) + "ms"}}}};
+    return json::object{{"address", this->local().str()},
+                        {"born", this->born_ms},
+                        {"info",
+                         {{"service_ref", this->settings.service.str()},
+                          {"config_version", "v1"},
+                          {"zone", this->settings.domain.str()},
+                          {"capacity", this->settings.slots}}},
+                        {"status",
+                         {{"phase", is_leaving ? "draining" : "ready"},
+                          {"sequence", 1},
+                          {"cold_left", std::to_string(this->cold_left().count()) + "ms"}}}};
 }
 
 milliseconds backend::cold_left() const
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -175,7 +175,8 @@
 {
     std::size_t total_pages = 0;
     std::size_t resident_pages = 0;
-    std::ifstream("/proc/" + std::to_string(this->process->pid()) + "/statm") >> total_pages >> resident_pages;
+    std::ifstream("/proc/" + std::to_string(this->process->pid()) + "/statm") >> total_pages >>
+        resident_pages;
     return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -220,8 +220,7 @@
 {
     std::unique_lock lock(this->guard);
     this->changed.wait_for(lock, wait, [&] {
-        return this->is_stopping || this->is_busy ||
-               (!this->is_silent && this->has_changes(kind, since));
+        return this->is_stopping || this->is_busy || (!this->is_silent && this->has_changes(kind, since));
     });
     if (this->is_stopping) {
         return false;
