--- a/review/support/backend.cpp
+++ b/review/support/backend.cpp
@@ -127,7 +127,6 @@
     message request;
     time_point bytes_due_at{}; //!< unset when none are due
     for (;;) {
-        connection.set_read_rate(this->settings.read_rate ? this->settings.read_rate() : 0);
         const bool are_bytes_due = bytes_due_at != time_point{};
         const auto status =
             connection.read_request(request, are_bytes_due ? bytes_due_at : now() + idle_timeout);
--- a/review/support/backend.h
+++ b/review/support/backend.h
@@ -49,8 +49,6 @@
     unsigned slots = 3;
     unsigned queue = 9;
     milliseconds work{300};
-    //! Asked at each request: how many bytes the backend reads in a second, 0 for as many as come.
-    std::function<std::size_t()> read_rate;
     //! Asked after each answer: whether additional bytes follow it, a tenth of a second later.
     std::function<bool()> has_additional_bytes;
 };
--- a/review/support/channel.cpp
+++ b/review/support/channel.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <thread>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -142,11 +141,6 @@
     const auto size = recv(this->descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
     if (size > 0) {
         this->buffer.append(bytes.data(), static_cast<std::size_t>(size));
-        const auto rate = this->read_rate.load();
-        if (rate > 0) {
-            std::this_thread::sleep_for(
-                std::chrono::duration<double>(static_cast<double>(size) / static_cast<double>(rate)));
-        }
         return read_status::complete;
     }
     return size == 0 ? read_status::closed : read_status::broken;
--- a/review/support/channel.h
+++ b/review/support/channel.h
@@ -56,8 +56,6 @@
     bool write_response(const message& response);
     read_status read_request(message& request, time_point deadline);
     read_status read_response(message& response, time_point deadline);
-    //! Reads no faster than this from now on; 0 lifts the limit.
-    void set_read_rate(std::size_t bytes_per_second) { this->read_rate = bytes_per_second; }
     //! The destructor then resets the connection instead of closing it in order.
     void reset_on_close() { this->is_reset_on_close = true; }
     //! Ends blocking calls of the thread that uses the connection; may be called from any thread.
@@ -70,7 +68,6 @@
     void parse_headers(const std::string& head, message& received, std::string& start_line) const;
 
     int descriptor;
-    std::atomic<std::size_t> read_rate = 0; //!< in bytes per second
     std::atomic<bool> is_reset_on_close = false;
     std::string buffer;
 };
