--- a/review/support/backend.cpp
+++ b/review/support/backend.cpp
@@ -19,6 +19,15 @@
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(wall).count());
 }
+
+//! The rejection as `fleetbench wire` prints it; it names no request.
+message additional_response()
+{
+    message response;
+    response.status = status_unavailable;
+    response.headers = {{"Not-Executed", "1"}};
+    return response;
+}
 } // namespace
 
 std::size_t arrival_book::add(const arrival& added)
@@ -87,8 +96,12 @@
 void backend::serve(channel& connection)
 {
     message request;
+    bool are_bytes_due = false;
     while (connection.read_request(request, now() + idle_timeout) == read_status::complete) {
         message response;
+        if (are_bytes_due && !connection.write_response(additional_response())) {
+            return;
+        }
         if (!this->handle(request, response)) {
             connection.reset_on_close();
             return;
@@ -96,6 +109,7 @@
         if (!connection.write_response(response)) {
             return;
         }
+        are_bytes_due = this->settings.has_additional_bytes && this->settings.has_additional_bytes();
         request = message{};
     }
 }
--- a/review/support/backend.h
+++ b/review/support/backend.h
@@ -50,6 +50,9 @@
     unsigned queue = 9;
     milliseconds work{300};
     std::string crashing_path; //!< a request for this path crashes the backend that runs it
+    //! Asked after each answer: whether additional bytes follow it, at the point where the next answer on the
+    //! channel is expected.
+    std::function<bool()> has_additional_bytes;
 };
 
 //! One boot of a stand-in backend: runs `slots` requests at a time, queues a few and rejects the rest.
