Bound long polls by the time to be up to date after an outage

What callers saw: after 4.5 s of a silent store no gateway learned of changes for up to 17 s. Cause: a long poll that the store has lost looks like one that waits, and it waited 15 s plus 2 s of timeout. A change ends all polls at once, so all instances called into the same silence. A relay vouched for all collections by its calls for the upstreams alone. Change: the deployment's bounds set the length of polls and the age of a relay's confirmation, for each collection; a timeout is followed by the shortest pause; the first response after an outage repeats the calls that may have been lost; while nothing responds, one collection is asked about once a second.

--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -23,9 +23,6 @@
 //! seconds in which a change has to be in force.
 constexpr std::chrono::milliseconds follower_wait{700};
 constexpr std::chrono::milliseconds response_timeout{400};
-//! Maximum age of the store's latest response for which this instance counts as in contact: the pause and the
-//! wait between two confirming calls, and some hundred milliseconds for a slow machine or a slow store.
-constexpr std::chrono::milliseconds max_confirmation_age{1550};
 constexpr std::chrono::seconds follower_timeout{3}; //!< a follower that has not called for this time is gone
 constexpr unsigned status_ok = 200;
 constexpr std::array relayed_collections{collection::configuration, collection::upstreams,
@@ -43,6 +40,7 @@
     : view(store_view)
     , callbacks(std::move(hooks_to_call))
     , source(settings.id, settings.where.domain, update_source_configuration{})
+    , watcher_configuration(settings.watcher)
     , client(std::make_unique<http::http_client>(context, peer_limits(settings, response_timeout)))
 {
 }
@@ -108,12 +106,11 @@
     if (this->is_leaving || !this->source.watches_store() || !this->view.is_complete()) {
         return false;
     }
-    //! NOTE Only the calls for upstreams are short enough to confirm contact; those for the others wait
-    //! longer.
-    const auto latest = this->confirmed_at.find(collection::upstreams);
-    return latest != this->confirmed_at.end() && now - latest->second <= max_confirmation_age &&
-           this->confirmed_at.contains(collection::configuration) &&
-           this->confirmed_at.contains(collection::evacuations);
+    return std::ranges::all_of(relayed_collections, [&](collection which) {
+        const auto latest = this->confirmed_at.find(which);
+        return latest != this->confirmed_at.end() &&
+               now - latest->second <= this->watcher_configuration.max_confirmation_age(which);
+    });
 }
 
 bool store_relay::is_outdated(const std::map<collection, object_version>& known, collection which) const
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -10,6 +10,7 @@
 #include "gateway/update_source.h"
 #include "http/http_client.h"
 #include "http/http_exchange.h"
+#include "store/collection_watcher.h"
 
 namespace boost::asio {
 class io_context;
@@ -80,6 +81,7 @@
     const fleet_view& view;
     hooks callbacks;
     update_source source;
+    store::collection_watcher_configuration watcher_configuration;
     std::unique_ptr<http::http_client> client;
     std::map<store::collection, time_point> confirmed_at; //!< latest response of the store itself
     std::vector<follower> followers;
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -19,6 +19,12 @@
 constexpr std::size_t max_body_bytes = 8UL * 1024 * 1024;
 constexpr std::chrono::seconds unacknowledged_timeout{2};
 constexpr std::chrono::milliseconds shortest_wait{1}; //!< the shortest wait that a long poll can request
+//! Of the bound within which a change must be in force: what instances that depend on another one need to
+//! notice that it has lost contact and to call the store themselves.
+constexpr std::chrono::milliseconds dependents_reaction_time{450};
+//! Of the age of a confirmation: delays of a slow machine or a slow store.
+constexpr std::chrono::milliseconds confirmation_delay{550};
+constexpr std::chrono::milliseconds min_poll_duration{100};
 
 time_point now()
 {
@@ -29,7 +35,7 @@
 {
     http::client_limits limits;
     limits.max_body_bytes = max_body_bytes;
-    limits.connect_timeout = configuration.call_timeout;
+    limits.connect_timeout = configuration.poll_timeout;
     limits.unacknowledged_timeout = unacknowledged_timeout;
     return limits;
 }
@@ -43,6 +49,21 @@
 }
 } // namespace
 
+std::chrono::milliseconds collection_watcher_configuration::max_confirmation_age(collection which) const
+{
+    const auto bound = this->change_bounds.find(which);
+    return bound == this->change_bounds.end() ? this->instances_interval
+                                              : bound->second - dependents_reaction_time;
+}
+
+std::chrono::milliseconds
+collection_watcher_configuration::poll_duration_with_dependents(collection which) const
+{
+    const auto within_age =
+        this->max_confirmation_age(which) - this->max_pause_with_dependents - confirmation_delay;
+    return std::clamp(within_age, min_poll_duration, std::max(min_poll_duration, this->poll_duration()));
+}
+
 struct collection_watcher::watch
 {
     explicit watch(boost::asio::io_context& context)
@@ -56,10 +77,12 @@
     bool is_in_contact = false;
     bool skips_next_wait = false; //!< the next long poll requests an immediate response
     bool is_call_in_progress = false;
+    bool awaits_contact = false;   //!< called again once another collection is in contact
     bool was_delivered = false;    //!< since the process started
     bool has_lost_contact = false; //!< contact was lost after the known state was received
     time_point contact_since{};
     time_point changed_at{};
+    time_point called_at{};
     std::chrono::milliseconds backoff{0};
     std::chrono::milliseconds change_pause{0};
     http::call_id call;
@@ -96,8 +119,8 @@
     if (!state.is_in_contact || state.skips_next_wait) {
         return shortest_wait;
     }
-    const bool confirms_often = this->has_dependent_instances && which == collection::upstreams;
-    return confirms_often ? this->configuration.wait_with_dependents : this->configuration.wait;
+    return this->has_dependent_instances ? this->configuration.poll_duration_with_dependents(which)
+                                         : this->configuration.poll_duration();
 }
 
 std::chrono::milliseconds collection_watcher::current_max_pause() const
@@ -113,18 +136,20 @@
     }
     auto& state = *this->watches.at(which);
     state.is_call_in_progress = true;
+    state.awaits_contact = false;
+    state.called_at = now();
     if (state.is_listed) {
         const auto wait = this->long_poll_duration(which);
         state.skips_next_wait = false;
         state.call = this->client->send(
             this->server, this->dialect.watch(which, state.version, wait),
-            now() + wait + this->configuration.call_timeout, http::connection_choice::reuse,
+            state.called_at + wait + this->configuration.poll_timeout, http::connection_choice::reuse,
             [this, which](const http::call_result& result) { this->on_watch_result(which, result); });
         return;
     }
     state.call = this->client->send(
-        this->server, this->dialect.list(which, state.list_after), now() + this->configuration.call_timeout,
-        http::connection_choice::reuse,
+        this->server, this->dialect.list(which, state.list_after),
+        state.called_at + this->configuration.list_timeout, http::connection_choice::reuse,
         [this, which](const http::call_result& result) { this->on_list_result(which, result); });
 }
 
@@ -144,7 +169,7 @@
     }
     try {
         auto page = this->dialect.decode_page(result.response.body);
-        this->on_contact(state);
+        this->on_contact(which);
         for (auto& object : page.objects) {
             state.list_after = object.name;
             state.listed_objects.push_back({std::move(object), false});
@@ -186,7 +211,7 @@
     }
     try {
         auto batch = this->dialect.decode_changes(result.response.body);
-        this->on_contact(state);
+        this->on_contact(which);
         this->deliver(which,
                       {which, false, this->is_after_outage(state), batch.version, std::move(batch.changes)});
     } catch (const buckthornhill::error& failure) {
@@ -240,23 +265,45 @@
     this->call_later(which, state.change_pause);
 }
 
-void collection_watcher::on_contact(watch& state)
+void collection_watcher::on_contact(collection which)
 {
+    auto& state = *this->watches.at(which);
+    if (which != collection::instances) {
+        this->last_in_contact = which;
+    }
     state.backoff = std::chrono::milliseconds(0);
     if (state.is_in_contact) {
         return;
     }
     state.is_in_contact = true;
     //! NOTE The first contact of a process that has no state yet does not count as the end of an outage.
-    state.contact_since = state.has_lost_contact ? now() : time_point{};
-    state.has_lost_contact = false;
-    for (const auto& [which, candidate] : this->watches) {
-        if (candidate.get() == &state) {
-            this->sink(contact_change{which, true, {}});
+    const bool is_restored = std::exchange(state.has_lost_contact, false);
+    state.contact_since = is_restored ? now() : time_point{};
+    this->sink(contact_change{which, true, {}});
+    if (is_restored) {
+        this->call_others_after_outage(state);
+    }
+}
+
+void collection_watcher::call_others_after_outage(const watch& restored)
+{
+    for (auto& [which, other] : this->watches) {
+        if (other->awaits_contact) {
+            other->timer.cancel();
+            this->call(which);
+        } else if (other->is_call_in_progress && other->is_listed && other->called_at < restored.called_at) {
+            this->client->cancel(other->call);
         }
     }
 }
 
+bool collection_watcher::has_contact() const
+{
+    return std::ranges::any_of(this->watches, [](const auto& item) {
+        return item.first != collection::instances && item.second->is_in_contact;
+    });
+}
+
 bool collection_watcher::is_after_outage(const watch& state) const
 {
     return state.contact_since != time_point{} &&
@@ -273,6 +320,15 @@
         state.is_in_contact = false;
         this->sink(contact_change{which, false, describe(result)});
     }
+    //! NOTE A timeout has already spaced the calls. A longer pause would only delay the end of the outage.
+    if (result.status == http::call_status::timed_out) {
+        state.backoff = std::chrono::milliseconds(0);
+    }
+    if (which != this->last_in_contact && !this->has_contact()) {
+        state.awaits_contact = true;
+        this->call_later(which, this->configuration.recovery_bound + this->draw_jitter());
+        return;
+    }
     this->retry_later(which);
 }
 
@@ -281,9 +337,13 @@
     auto& state = *this->watches.at(which);
     state.backoff =
         std::clamp(state.backoff * 2, this->configuration.min_backoff, this->configuration.max_backoff);
-    const auto jitter = std::chrono::milliseconds(
-        this->random() % static_cast<std::uint64_t>(this->configuration.min_backoff.count()));
-    this->call_later(which, state.backoff + jitter);
+    this->call_later(which, state.backoff + this->draw_jitter());
+}
+
+std::chrono::milliseconds collection_watcher::draw_jitter()
+{
+    return std::chrono::milliseconds(this->random() %
+                                     static_cast<std::uint64_t>(this->configuration.min_backoff.count()));
 }
 
 void collection_watcher::call_later(collection which, std::chrono::milliseconds delay)
@@ -291,7 +351,7 @@
     auto& state = *this->watches.at(which);
     state.timer.expires_after(delay);
     state.timer.async_wait([this, which](const boost::system::error_code& failure) {
-        if (!failure) {
+        if (!failure && !this->watches.at(which)->is_call_in_progress) {
             this->call(which);
         }
     });
@@ -336,7 +396,9 @@
 void collection_watcher::set_has_dependent_instances(bool has_dependents)
 {
     if (std::exchange(this->has_dependent_instances, has_dependents) != has_dependents && has_dependents) {
-        this->refresh(collection::upstreams);
+        for (const auto& [which, bound] : this->configuration.change_bounds) {
+            this->refresh(which);
+        }
     }
 }
 
@@ -350,7 +412,7 @@
 void collection_watcher::publish(bool exists)
 {
     auto request = this->dialect.put(collection::instances, this->instance_name, this->instance_body, exists);
-    this->client->send(this->server, std::move(request), now() + this->configuration.call_timeout,
+    this->client->send(this->server, std::move(request), now() + this->configuration.list_timeout,
                        http::connection_choice::reuse, [this, exists](const http::call_result& result) {
                            const bool is_complete = result.status == http::call_status::complete;
                            if (is_complete && result.response.status < first_failure_status) {
@@ -377,7 +439,7 @@
 {
     this->publish_retry->cancel();
     this->client->send(this->server, this->dialect.remove(collection::instances, name),
-                       now() + this->configuration.call_timeout, http::connection_choice::reuse,
+                       now() + this->configuration.list_timeout, http::connection_choice::reuse,
                        [](const http::call_result& result) {
                            if (result.status != http::call_status::complete) {
                                log::warning(log_part, "Could not remove this instance from the store: " +
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -33,10 +33,20 @@
 
 struct collection_watcher_configuration
 {
-    //! Duration of one long poll, and so the longest time for which its connection is silent.
-    std::chrono::milliseconds wait{15000};
-    //! Timeout of a response, in addition to the duration of the long poll.
-    std::chrono::milliseconds call_timeout{2000};
+    //! Time after an outage of the store, or of the path to it, within which all collections must be up to
+    //! date again. A call that was lost in the outage looks like one that waits, so this bounds the duration
+    //! of every call.
+    std::chrono::milliseconds recovery_bound{3000};
+    //! Time from the acknowledgement of a change of a collection until it must be in force. Instances that
+    //! receive the changes through this one depend on how recently the store has confirmed the collection.
+    std::map<collection, std::chrono::milliseconds> change_bounds{
+        {collection::configuration, std::chrono::milliseconds(2000)},
+        {collection::upstreams, std::chrono::milliseconds(2000)},
+        {collection::evacuations, std::chrono::milliseconds(5000)}};
+    //! Timeout of the response to a list.
+    std::chrono::milliseconds list_timeout{2000};
+    //! Timeout of the response to a long poll, in addition to its duration.
+    std::chrono::milliseconds poll_timeout{800};
     std::chrono::milliseconds min_backoff{150}; //!< after a failed call; doubles up to the maximum
     std::chrono::milliseconds max_backoff{1200};
     //! An entry that disappears later than this after contact was restored was removed; before that, it may
@@ -51,14 +61,19 @@
     //! usually finds a relay, that is another instance that watches the store for it, and then needs no long
     //! poll.
     std::chrono::milliseconds first_pause{1200};
-    //! Duration of a long poll and longest pause while other instances depend on this one's contact with the
-    //! store. Together they limit the age of a confirmation to one second, which leaves the dependent
-    //! instances the other of the two seconds within which a change must take effect.
-    std::chrono::milliseconds wait_with_dependents{600};
+    //! Longest pause while other instances depend on this one's contact with the store.
     std::chrono::milliseconds max_pause_with_dependents{400};
     //! The list of instances only provides the first peers for heartbeats, which bring the other peers. It is
     //! therefore listed at this interval and not watched.
     std::chrono::milliseconds instances_interval{30000};
+
+    //! Duration of a long poll, and so the longest time for which its connection is silent.
+    std::chrono::milliseconds poll_duration() const { return this->recovery_bound / 2; }
+    //! The same while other instances depend on this one.
+    std::chrono::milliseconds poll_duration_with_dependents(collection which) const;
+    //! Age of the latest response of the store for `which` up to which other instances may depend on it. The
+    //! rest of the bound is for those that must then call the store themselves.
+    std::chrono::milliseconds max_confirmation_age(collection which) const;
 };
 
 //! Lists each collection and then keeps one long poll open for it. Runs on the store thread.
@@ -96,15 +111,20 @@
     void call(collection which);
     std::chrono::milliseconds long_poll_duration(collection which) const;
     std::chrono::milliseconds current_max_pause() const;
+    bool has_contact() const;
+    //! Calls the store for the collections that wait for contact, and again for those whose calls may have
+    //! been lost in the outage.
+    void call_others_after_outage(const watch& restored);
     void on_list_result(collection which, const http::call_result& result);
     void on_watch_result(collection which, const http::call_result& result);
     void on_failure(collection which, const http::call_result& result);
-    void on_contact(watch& state);
+    void on_contact(collection which);
     bool is_after_outage(const watch& state) const;
     void deliver(collection which, collection_update update);
     void call_after_pause(collection which, bool has_changes);
     void call_later(collection which, std::chrono::milliseconds delay);
     void retry_later(collection which);
+    std::chrono::milliseconds draw_jitter();
     void publish(bool exists);
 
     boost::asio::io_context& context;
@@ -118,6 +138,9 @@
     std::unique_ptr<boost::asio::steady_timer> publish_retry;
     bool is_suspended = true;
     bool has_dependent_instances = false;
+    //! The latest that the store responded for. While no collection is in contact, the calls for it show when
+    //! the outage is over; those for the others are repeated only now and then.
+    collection last_in_contact = collection::configuration;
     std::string instance_name;
     std::string instance_body;
 };
--- a/src/store/tests/collection_watcher_tests.cpp
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -78,6 +78,21 @@
     return dialect;
 }
 
+//! Status in a script for a call that the store never responds to.
+constexpr unsigned no_response = 0;
+
+collection_watcher_configuration fast_configuration(milliseconds first_pause)
+{
+    collection_watcher_configuration configuration;
+    configuration.recovery_bound = milliseconds(100);
+    configuration.min_backoff = milliseconds(1);
+    configuration.max_backoff = milliseconds(1);
+    configuration.min_pause = milliseconds(1);
+    configuration.max_pause = milliseconds(1);
+    configuration.first_pause = first_pause;
+    return configuration;
+}
+
 //! A store that responds to calls for the upstreams and for `put` from a script, and never responds to other
 //! calls.
 class scripted_store
@@ -86,11 +101,16 @@
     using answer = std::pair<unsigned, std::string>;
 
     explicit scripted_store(std::vector<answer> answers, milliseconds first_pause = milliseconds(1))
+        : scripted_store(std::move(answers), fast_configuration(first_pause))
+    {
+    }
+
+    scripted_store(std::vector<answer> answers, const collection_watcher_configuration& configuration)
         : script(std::move(answers))
         , server(this->context, {"127.0.0.1", 0}, http::server_limits{},
                  [this](const http::exchange_ptr& exchange) { this->on_call(exchange); })
         , watcher(
-              this->context, this->server.local_endpoint(), make_dialect(), fast_configuration(first_pause),
+              this->context, this->server.local_endpoint(), make_dialect(), configuration,
               [this](const watcher_event& event) { return this->on_event(event); },
               [] { return std::uint64_t{0}; })
     {
@@ -116,17 +136,6 @@
     std::function<bool()> accepts_update = [] { return true; };
 
 private:
-    static collection_watcher_configuration fast_configuration(milliseconds first_pause)
-    {
-        collection_watcher_configuration configuration;
-        configuration.min_backoff = milliseconds(1);
-        configuration.max_backoff = milliseconds(1);
-        configuration.min_pause = milliseconds(1);
-        configuration.max_pause = milliseconds(1);
-        configuration.first_pause = first_pause;
-        return configuration;
-    }
-
     void on_call(const http::exchange_ptr& exchange)
     {
         const auto& request = exchange->request();
@@ -143,6 +152,11 @@
             this->context.stop();
             return;
         }
+        if (this->script[this->next].first == no_response) {
+            ++this->next;
+            this->waiting.push_back(exchange);
+            return;
+        }
         http::http_response response;
         response.status = this->script[this->next].first;
         response.body = this->script[this->next].second;
@@ -289,3 +303,50 @@
     CHECK(store.calls[1] == "GET /upstreams?since=5");
     CHECK(store.called_at[1] - store.called_at[0] >= pause);
 }
+
+//! Guards against calls that a silent store has lost and that pass for waiting ones long after it is back.
+TEST_CASE(
+    "[GIVEN] a long poll that a silent store has lost [WHEN] the store is back [THEN] it is called again "
+    "within the recovery bound",
+    "[store][pattern: the store is silent]")
+{
+    collection_watcher_configuration configuration;
+    configuration.first_pause = milliseconds(1);
+    scripted_store store({{200, "a@5"}, {no_response, ""}, {200, "b@9"}}, configuration);
+    store.run();
+    REQUIRE(store.calls.size() == 4);
+    CHECK(store.calls[2] == "GET /upstreams?since=5&answer=at-once");
+    CHECK(store.called_at[2] - store.called_at[1] < configuration.recovery_bound);
+    CHECK(store.contacts == std::vector<bool>{true, false, true});
+}
+
+TEST_CASE(
+    "[GIVEN] the bounds of a deployment [WHEN] a call is lost at the end of an outage [THEN] its timeout and "
+    "the pause after it are shorter than the recovery bound",
+    "[store][pattern: the store is silent]")
+{
+    for (const auto bound : {milliseconds(3000), milliseconds(4000), milliseconds(8000)}) {
+        collection_watcher_configuration configuration;
+        configuration.recovery_bound = bound;
+        const auto longest_pause = 2 * configuration.min_backoff;
+        CHECK(configuration.poll_duration() + configuration.poll_timeout + longest_pause < bound);
+        CHECK(configuration.list_timeout + longest_pause < bound);
+        CHECK(configuration.max_backoff + configuration.min_backoff < bound);
+    }
+}
+
+TEST_CASE(
+    "[GIVEN] instances that depend on this one [WHEN] it confirms a collection [THEN] the next confirmation "
+    "follows before they have to call the store",
+    "[store][pattern: the relay of a failure domain is cut off]")
+{
+    for (const auto bound : {milliseconds(2000), milliseconds(3000), milliseconds(5000)}) {
+        collection_watcher_configuration configuration;
+        configuration.change_bounds[collection::configuration] = bound;
+        const auto age = configuration.max_confirmation_age(collection::configuration);
+        CHECK(age < bound);
+        CHECK(configuration.poll_duration_with_dependents(collection::configuration) +
+                  configuration.max_pause_with_dependents <
+              age);
+    }
+}
