Judge the soak per gateway, and count what reaches the upstreams

Cause: the checker excused every gateway while any fault was present anywhere. It did not look at the retry budget, the rate of cold upstreams, added and dropped routes, and no upstream sent bytes that belong to no request. Change: a fault excuses the gateway, the path or the store that has it, for 3 s after its end. arrival_checker counts arrivals beyond the first of each request and arrivals at cold upstreams. New faults: responses of single connections are lost for good, a refusal without an id or a copy follows each response, heads are cut, all gateways are killed at once. Each rule has a test.

--- a/tools/soak/guarantee_checker.cpp
+++ b/tools/soak/guarantee_checker.cpp
@@ -3,6 +3,21 @@
 #include <algorithm>
 
 namespace buckthornhill::soak {
+namespace {
+bool overlaps_any(const std::vector<std::pair<time_point, time_point>>& intervals, time_point from,
+                  time_point until)
+{
+    return std::ranges::any_of(intervals,
+                               [&](const auto& one) { return one.first < until && one.second > from; });
+}
+
+//! The part of a request id that names its route, such as `/steady/`.
+std::string prefix_in(const std::string& id)
+{
+    return id.substr(std::min(id.find('/'), id.size()));
+}
+} // namespace
+
 void guarantee_checker::on_sent(time_point at, const std::string& request, const std::string& gateway,
                                 bool is_idempotent)
 {
@@ -31,9 +46,14 @@
     found->second.executions.push_back({at, upstream, service});
 }
 
-void guarantee_checker::on_injected_fault(time_point from, time_point until)
+void guarantee_checker::on_gateway_fault(time_point from, time_point until, const std::string& gateway)
 {
-    this->fault_intervals.emplace_back(from, until);
+    this->gateway_faults[gateway].emplace_back(from, until);
+}
+
+void guarantee_checker::on_upstream_fault(time_point from, time_point until, const std::string& upstream)
+{
+    this->upstream_faults[upstream].emplace_back(from, until);
 }
 
 void guarantee_checker::on_planned_stop(time_point at, const std::string& gateway)
@@ -46,11 +66,25 @@
     this->leaving_since[upstream] = at;
 }
 
+bool guarantee_checker::is_undisturbed(const faults_by_name& faults, const std::string& name, time_point from,
+                                       time_point until) const
+{
+    const auto found = faults.find(name);
+    return found == faults.end() || !overlaps_any(found->second, from - this->bounds.recovery, until);
+}
+
+bool guarantee_checker::is_in_contact(const std::string& gateway, time_point from, time_point until) const
+{
+    return !overlaps_any(this->store_faults, from - this->bounds.recovery, until) &&
+           this->is_undisturbed(this->gateway_faults, gateway, from, until);
+}
+
 bool guarantee_checker::is_fault_free(time_point from, time_point until) const
 {
-    return std::ranges::none_of(this->fault_intervals, [&](const auto& interval) {
-        return interval.first < until && interval.second > from;
-    });
+    const auto is_quiet = [&](const auto& item) { return !overlaps_any(item.second, from, until); };
+    return !overlaps_any(this->store_faults, from, until) &&
+           std::ranges::all_of(this->gateway_faults, is_quiet) &&
+           std::ranges::all_of(this->upstream_faults, is_quiet);
 }
 
 bool guarantee_checker::overlaps_planned_stop(const request_record& request) const
@@ -61,36 +95,44 @@
     });
 }
 
-std::string guarantee_checker::violation_in_execution(const std::string& id, const request_record& request,
-                                                      const execution& execution) const
+std::string guarantee_checker::drain_violation(const std::string& id, const request_record& request,
+                                               const execution& execution) const
 {
     const auto leaving = this->leaving_since.find(execution.upstream);
     const bool is_after_drain =
         leaving != this->leaving_since.end() && execution.at > leaving->second + this->bounds.drain;
-    if (is_after_drain &&
-        this->is_fault_free(leaving->second - this->bounds.fault_free_period, execution.at)) {
-        return id + " reached " + execution.upstream + " " +
-               std::to_string(to_milliseconds(execution.at - leaving->second)) +
-               " ms after it was registered as leaving";
-    }
-    if (id.find(moving_prefix) == std::string::npos) {
+    if (!is_after_drain ||
+        overlaps_any(this->store_faults, leaving->second - this->bounds.recovery, leaving->second) ||
+        !this->is_in_contact(request.gateway, request.sent_at, execution.at) ||
+        !this->is_undisturbed(this->upstream_faults, execution.upstream, execution.at, execution.at)) {
         return {};
     }
-    //! Allowed are the configuration that must be in force when the request is sent and all later ones.
+    return id + " reached " + execution.upstream + " by " + request.gateway + " " +
+           std::to_string(to_milliseconds(execution.at - leaving->second)) +
+           " ms after it was registered as leaving";
+}
+
+std::string guarantee_checker::configuration_violation(const std::string& id, const request_record& request,
+                                                       const std::string& service,
+                                                       time_point handled_at) const
+{
+    //! Allowed are the configuration that must be in force when the request is sent and the later ones.
     auto configuration = this->configurations.upper_bound(request.sent_at - this->bounds.configuration);
-    if (configuration == this->configurations.begin()) {
+    const auto prefix = prefix_in(id);
+    if (configuration == this->configurations.begin() || prefix.empty()) {
         return {};
     }
     --configuration;
-    const bool is_allowed = std::any_of(configuration, this->configurations.end(),
-                                        [&](const auto& entry) { return entry.second == execution.service; });
-    const auto since = configuration->first - this->bounds.fault_free_period;
-    const auto checked_from =
-        std::max(since, request.sent_at - this->bounds.fault_free_period - this->bounds.configuration);
-    if (!is_allowed && this->is_fault_free(checked_from, execution.at)) {
-        return id + " was run by " + execution.service + ", which only an outdated configuration allows";
+    const auto after_last = this->configurations.upper_bound(handled_at);
+    const bool is_allowed = std::any_of(configuration, after_last, [&](const auto& entry) {
+        const auto route = entry.second.find(prefix);
+        return (route == entry.second.end() ? std::string() : route->second) == service;
+    });
+    if (is_allowed || !this->is_in_contact(request.gateway, request.sent_at, handled_at)) {
+        return {};
     }
-    return {};
+    const auto seen = service.empty() ? std::string(" found no route") : " was run by " + service;
+    return id + seen + " at " + request.gateway + ", which only an outdated configuration allows";
 }
 
 std::string guarantee_checker::violation_in(const std::string& id, const request_record& request) const
@@ -106,16 +148,21 @@
     }
     const bool is_cut_off = request.outcome == request_outcome::broken && !request.executions.empty();
     if (is_cut_off && this->overlaps_planned_stop(request) &&
-        this->is_fault_free(request.sent_at - this->bounds.fault_free_period, request.finished_at)) {
+        this->is_fault_free(request.sent_at - this->bounds.recovery, request.finished_at)) {
         return id + " was cut off by the planned stop of " + request.gateway;
     }
     for (const auto& execution : request.executions) {
-        auto violation = this->violation_in_execution(id, request, execution);
+        auto violation = this->drain_violation(id, request, execution);
+        if (violation.empty()) {
+            violation = this->configuration_violation(id, request, execution.service, execution.at);
+        }
         if (!violation.empty()) {
             return violation;
         }
     }
-    return {};
+    return request.outcome == request_outcome::no_route
+               ? this->configuration_violation(id, request, {}, request.finished_at)
+               : std::string();
 }
 
 std::vector<std::string> guarantee_checker::violations() const
@@ -128,7 +175,8 @@
         if (!violation.empty()) {
             violations.push_back(std::move(violation));
         }
-        if (request.sent_at >= this->recovered_at && request.is_finished) {
+        const bool is_owed = request.is_finished && request.outcome != request_outcome::no_route;
+        if (request.sent_at >= this->recovered_at && is_owed) {
             ++after_recovery;
             served += request.outcome == request_outcome::whole ? 1 : 0;
         }
--- a/tools/soak/guarantee_checker.h
+++ b/tools/soak/guarantee_checker.h
@@ -14,6 +14,7 @@
     whole,       //!< a success response that an upstream made for this request
     inauthentic, //!< a success response that no upstream made for this request
     refused,     //!< a response that guarantees that the request has not run and never will
+    no_route,    //!< a response that says that no route matches
     unknown,     //!< a failure that leaves open whether the request ran
     broken       //!< the connection ended without a response
 };
@@ -22,10 +23,12 @@
 struct guarantee_bounds
 {
     std::chrono::milliseconds drain{2000}; //!< from an upstream's registration as leaving to its last request
-    std::chrono::milliseconds configuration{2000};     //!< from its acknowledgement until it is in force
-    std::chrono::milliseconds fault_free_period{4000}; //!< time without faults before the bounds above apply
-    std::chrono::milliseconds stop{7000};              //!< the grace period of a planned stop plus 1 s
-    double min_served_share = 0.9;                     //!< of the requests sent after the recovery
+    std::chrono::milliseconds configuration{2000}; //!< from its acknowledgement until it is in force
+    //! Time without a fault of the store, or of a gateway and its path to the store, after which the bounds
+    //! above hold for this gateway.
+    std::chrono::milliseconds recovery{3000};
+    std::chrono::milliseconds stop{7000}; //!< the grace period of a planned stop plus 1 s
+    double min_served_share = 0.9;        //!< of the requests sent after the recovery
 };
 
 //! Records what callers, upstreams and the operator observed in a run, and reports which guarantees were
@@ -42,12 +45,19 @@
     void on_outcome(time_point at, const std::string& request, request_outcome outcome);
     void on_execution(time_point at, const std::string& request, const std::string& upstream,
                       const std::string& service);
-    //! A fault, as opposed to a planned operation, was present from `from` to `until`.
-    void on_injected_fault(time_point from, time_point until);
+    //! The store was at fault from `from` to `until`, which excuses all gateways.
+    void on_store_fault(time_point from, time_point until) { this->store_faults.push_back({from, until}); }
+    //! This gateway was stopped, frozen or cut off, which excuses it alone.
+    void on_gateway_fault(time_point from, time_point until, const std::string& gateway);
+    //! The path to this upstream was at fault, which excuses late arrivals there.
+    void on_upstream_fault(time_point from, time_point until, const std::string& upstream);
     void on_planned_stop(time_point at, const std::string& gateway);
     void on_leaving(time_point at, const std::string& upstream);
-    //! The store acknowledged a configuration that routes `moving_prefix` to `service`.
-    void on_configuration(time_point at, const std::string& service) { this->configurations[at] = service; }
+    //! The store acknowledged a configuration with these services by path prefix.
+    void on_configuration(time_point at, std::map<std::string, std::string> service_by_prefix)
+    {
+        this->configurations[at] = std::move(service_by_prefix);
+    }
     //! All faults are over at `at`, and the system has had time to recover.
     void on_recovered(time_point at) { this->recovered_at = at; }
     //! Adds a violation that is known without the recorded requests.
@@ -58,9 +68,6 @@
     std::size_t request_count() const { return this->requests.size(); }
     std::size_t count(request_outcome outcome) const;
 
-    //! The path prefix whose service changes with each configuration.
-    static constexpr const char* moving_prefix = "/moving/";
-
 private:
     struct execution
     {
@@ -79,18 +86,30 @@
         std::vector<execution> executions;
     };
 
+    using interval = std::pair<time_point, time_point>;
+    using faults_by_name = std::map<std::string, std::vector<interval>>;
+
+    //! Neither the store nor this gateway was at fault from the recovery time before `from` until `until`.
+    bool is_in_contact(const std::string& gateway, time_point from, time_point until) const;
+    bool is_undisturbed(const faults_by_name& faults, const std::string& name, time_point from,
+                        time_point until) const;
     bool is_fault_free(time_point from, time_point until) const;
     std::string violation_in(const std::string& id, const request_record& request) const;
-    std::string violation_in_execution(const std::string& id, const request_record& request,
-                                       const execution& execution) const;
+    std::string drain_violation(const std::string& id, const request_record& request,
+                                const execution& execution) const;
+    //! `service` ran the request; empty when it was answered that no route matches.
+    std::string configuration_violation(const std::string& id, const request_record& request,
+                                        const std::string& service, time_point handled_at) const;
     bool overlaps_planned_stop(const request_record& request) const;
 
     guarantee_bounds bounds;
     std::map<std::string, request_record> requests;
-    std::vector<std::pair<time_point, time_point>> fault_intervals;
+    std::vector<interval> store_faults;
+    faults_by_name gateway_faults;
+    faults_by_name upstream_faults;
     std::multimap<std::string, time_point> planned_stops;
     std::map<std::string, time_point> leaving_since;
-    std::map<time_point, std::string> configurations;
+    std::map<time_point, std::map<std::string, std::string>> configurations;
     std::vector<std::string> reported_violations;
     time_point recovered_at = time_point::max();
 };
--- a/tools/soak/loopback_proxy.cpp
+++ b/tools/soak/loopback_proxy.cpp
@@ -13,6 +13,11 @@
 constexpr std::chrono::milliseconds added_delay{120};
 constexpr std::chrono::milliseconds hold_poll_interval{20}; //!< between checks whether data may pass again
 constexpr std::size_t chunk_bytes = 16UL * 1024;
+//! From a response to the bytes after it, so that they arrive while the next request is in progress.
+constexpr std::chrono::milliseconds stray_bytes_delay{10};
+constexpr std::size_t cut_head_bytes = 24;
+constexpr std::string_view stray_refusal =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr auto as_result_tuple = asio::as_tuple(asio::use_awaitable);
 
 //! The connection from a client and the matching connection to the target.
@@ -35,6 +40,7 @@
 
     tcp::socket client_side;
     tcp::socket target_side;
+    bool has_lost_data = false; //!< of a response; what follows is dropped too
 };
 using pair_ptr = std::shared_ptr<connection_pair>;
 } // namespace
@@ -54,6 +60,15 @@
                (this->mode == proxy_mode::block_responses && is_response);
     }
 
+    //! What follows `response` on the connection although it belongs to no request.
+    std::string stray_bytes(std::string_view response) const
+    {
+        if (this->mode == proxy_mode::add_refusals) {
+            return std::string(stray_refusal);
+        }
+        return this->mode == proxy_mode::repeat_responses ? std::string(response) : std::string();
+    }
+
     static asio::awaitable<void> accept(std::shared_ptr<implementation> self)
     {
         while (self->acceptor.is_open()) {
@@ -103,11 +118,23 @@
             if (read_failure) {
                 break;
             }
+            pair->has_lost_data |= is_response && self->mode == proxy_mode::lose_responses;
+            if (is_response && pair->has_lost_data) {
+                continue;
+            }
+            const bool cuts_head = is_response && self->mode == proxy_mode::cut_heads;
+            const auto forwarded = cuts_head ? std::min(size, cut_head_bytes) : size;
             const auto [write_failure, written] =
-                co_await asio::async_write(to, asio::buffer(chunk.data(), size), as_result_tuple);
-            if (write_failure) {
+                co_await asio::async_write(to, asio::buffer(chunk.data(), forwarded), as_result_tuple);
+            if (write_failure || cuts_head) {
                 break;
             }
+            const auto stray = is_response ? self->stray_bytes({chunk.data(), size}) : std::string();
+            if (!stray.empty()) {
+                timer.expires_after(stray_bytes_delay);
+                co_await timer.async_wait(as_result_tuple);
+                co_await asio::async_write(to, asio::buffer(stray), as_result_tuple);
+            }
         }
         boost::system::error_code ignored;
         pair->client_side.close(ignored);
--- a/tools/soak/soak_callers.cpp
+++ b/tools/soak/soak_callers.cpp
@@ -22,6 +22,9 @@
     if (answer.is_success) {
         return answer.is_authentic ? request_outcome::whole : request_outcome::inauthentic;
     }
+    if (answer.says_no_route) {
+        return request_outcome::no_route;
+    }
     return answer.guarantees_not_executed ? request_outcome::refused : request_outcome::unknown;
 }
 } // namespace
@@ -49,15 +52,19 @@
     if (--caller.requests_left < 0 || !this->gateways[caller.gateway]->is_running()) {
         this->choose_gateway(caller);
     }
-    static constexpr std::array paths{"/steady/", "/once/", guarantee_checker::moving_prefix, "/other/"};
+    static constexpr std::array paths{"/steady/", "/once/", "/moving/", "/other/", "/added/"};
     const std::string path = paths[this->draw(paths.size())];
-    const bool is_idempotent = path == "/steady/" || path == "/other/";
+    const bool is_idempotent = path != "/once/" && path != "/moving/";
     const auto request_id = std::to_string(++this->last_request) + path;
     auto request = make_request(is_idempotent ? "GET" : "POST", path + std::to_string(this->draw(20)),
                                 request_id, announced_wait);
     const auto& gateway = *this->gateways[caller.gateway];
     const auto sent_at = std::chrono::steady_clock::now();
     this->checker.on_sent(sent_at, request_id, gateway.name(), is_idempotent);
+    const auto service = this->service_by_prefix.find(path);
+    if (service != this->service_by_prefix.end()) {
+        this->arrivals.on_sent(sent_at, request_id, service->second);
+    }
     const auto target = gateway.caller_endpoint();
     caller.client->send(target, request, sent_at + call_timeout, http::connection_choice::reuse,
                         [this, number, request, request_id](const http::call_result& result) {
--- a/tools/soak/soak_faults.cpp
+++ b/tools/soak/soak_faults.cpp
@@ -13,7 +13,6 @@
 constexpr milliseconds process_poll_interval{50}; //!< between checks whether processes have ended
 constexpr milliseconds drain_duration{3500};      //!< for which a leaving upstream continues to serve
 constexpr milliseconds registration_expiry{1500}; //!< until the registration of a crashed upstream is removed
-constexpr milliseconds startup_fault_time{2000};  //!< until a restarted gateway is connected
 } // namespace
 
 void soak_run::inject_next_fault()
@@ -43,32 +42,52 @@
 
 void soak_run::inject_process_fault()
 {
+    if (this->draw(8) == 0) {
+        this->kill_all_gateways();
+        return;
+    }
     auto& gateway = *this->gateways[this->draw(this->gateways.size())];
     if (!gateway.is_running()) {
         return;
     }
     if (this->draw(2) == 0) {
         ++this->event_counts["kill"];
-        this->record_fault(restart_pause + startup_fault_time);
-        gateway.kill();
-        this->run_after(restart_pause, [&gateway] { gateway.start(); });
+        this->kill_gateway(gateway);
         return;
     }
     ++this->event_counts["pause"];
     const auto duration = this->draw_duration(200, 2500);
-    this->record_fault(duration);
+    this->record_gateway_fault(duration, gateway);
     gateway.signal(SIGSTOP);
     this->run_after(duration, [&gateway] { gateway.signal(SIGCONT); });
 }
 
+void soak_run::kill_gateway(gateway_process& gateway)
+{
+    this->down_since.emplace(gateway.name(), std::chrono::steady_clock::now());
+    gateway.kill();
+    this->run_after(restart_pause, [this, &gateway] { this->restart_gateway(gateway); });
+}
+
+void soak_run::kill_all_gateways()
+{
+    ++this->event_counts["kill-all"];
+    for (const auto& gateway : this->gateways) {
+        if (gateway->is_running()) {
+            this->kill_gateway(*gateway);
+        }
+    }
+}
+
 void soak_run::inject_store_path_fault()
 {
     ++this->event_counts["store-path"];
     static constexpr std::array modes{proxy_mode::delay, proxy_mode::blackhole, proxy_mode::block_responses,
-                                      proxy_mode::reset};
-    auto& proxy = *this->store_proxies[this->draw(this->store_proxies.size())];
+                                      proxy_mode::lose_responses, proxy_mode::reset};
+    const auto chosen = this->draw(this->store_proxies.size());
+    auto& proxy = *this->store_proxies[chosen];
     const auto duration = this->draw_duration(300, 3000);
-    this->record_fault(duration);
+    this->record_gateway_fault(duration, *this->gateways[chosen]);
     proxy.set_mode(modes[this->draw(modes.size())]);
     this->run_after(duration, [&proxy] { proxy.set_mode(proxy_mode::pass); });
 }
@@ -95,7 +114,7 @@
         this->store.forget_history();
         break;
     }
-    this->record_fault(duration);
+    this->record_store_fault(duration);
     this->store.set_faults(faults);
     this->run_after(duration, [this] { this->store.set_faults({}); });
 }
@@ -124,10 +143,13 @@
         return;
     }
     ++this->event_counts["upstream-path"];
-    static constexpr std::array modes{proxy_mode::delay, proxy_mode::blackhole, proxy_mode::block_responses,
-                                      proxy_mode::reset};
+    static constexpr std::array modes{proxy_mode::delay,           proxy_mode::blackhole,
+                                      proxy_mode::block_responses, proxy_mode::lose_responses,
+                                      proxy_mode::add_refusals,    proxy_mode::repeat_responses,
+                                      proxy_mode::cut_heads,       proxy_mode::reset};
     const auto duration = this->draw_duration(200, 2000);
-    this->record_fault(duration);
+    const auto start = std::chrono::steady_clock::now();
+    this->checker.on_upstream_fault(start, start + duration, id);
     chosen->proxy->set_mode(modes[this->draw(modes.size())]);
     this->run_after(duration, [this, id] {
         if (auto* proxied = this->find_upstream(id)) {
@@ -187,6 +209,7 @@
     }
     ++this->event_counts["stop"];
     this->checker.on_planned_stop(std::chrono::steady_clock::now(), gateway.name());
+    this->down_since.emplace(gateway.name(), std::chrono::steady_clock::now());
     gateway.request_stop();
 }
 
@@ -203,7 +226,7 @@
             this->checker.add_violation(gateway->name() + " ended with exit code " +
                                         std::to_string(exit_code.value_or(0)));
         }
-        this->run_after(restart_pause, [ended = gateway.get()] { ended->start(); });
+        this->run_after(restart_pause, [this, ended = gateway.get()] { this->restart_gateway(*ended); });
     }
     this->run_after(process_poll_interval, [this] { this->watch_processes(); });
 }
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -1,6 +1,8 @@
 #include "soak_run.h"
 
+#include <algorithm>
 #include <array>
+#include <iterator>
 #include <unistd.h>
 
 namespace buckthornhill::soak {
@@ -13,8 +15,15 @@
 constexpr std::array<const char*, 3> services{"steady", "left", "right"};
 constexpr std::size_t upstreams_of_service = 3;
 constexpr milliseconds request_work_time{40}; //!< long enough that a crash interrupts some requests
-constexpr milliseconds startup_time{2500};    //!< until all gateways have complete information
-constexpr milliseconds recovery_time{6000};   //!< until everything has recovered; users accept 15 s
+constexpr milliseconds cold_time{3000};       //!< of upstreams that start during a run
+constexpr unsigned cold_requests_per_second = 8;
+//! Bounds of the deployment that the checkers judge by.
+constexpr const char* bounds_settings =
+    "bound = stable_window=3000ms\nbound = drain=2000ms\nbound = config_apply=2000ms\n"
+    "bound = evacuation=5000ms\nbound = grace=6s\nbound = retry_budget_ratio=0.2\n"
+    "bound = retry_budget_burst=58\nbound = budget_window=10s\n";
+constexpr milliseconds startup_time{2500};  //!< until all gateways have complete information
+constexpr milliseconds recovery_time{6000}; //!< until everything has recovered; users accept 15 s
 //! From the recovery to a drain and a configuration change, whose bounds no fault excuses.
 constexpr milliseconds final_operations_delay{1500};
 constexpr milliseconds recovered_load_time{6000}; //!< in which recovery, drain and change are checked
@@ -47,7 +56,7 @@
         }
     }
     this->change_configuration();
-    std::string settings;
+    std::string settings = bounds_settings;
     for (const auto* domain : domains) {
         const std::string name(domain);
         settings += "region-of-domain = " + name + "=" + name.substr(0, name.find('-')) + "\n";
@@ -92,9 +101,23 @@
     });
 }
 
-void soak_run::record_fault(milliseconds time)
+void soak_run::record_store_fault(milliseconds time)
 {
-    this->checker.on_injected_fault(now(), now() + time);
+    this->checker.on_store_fault(now(), now() + time);
+}
+
+void soak_run::record_gateway_fault(milliseconds time, const gateway_process& gateway)
+{
+    this->checker.on_gateway_fault(now(), now() + time, gateway.name());
+}
+
+void soak_run::restart_gateway(gateway_process& gateway)
+{
+    gateway.start();
+    const auto since = this->down_since.find(gateway.name());
+    this->checker.on_gateway_fault(since == this->down_since.end() ? now() : since->second, now(),
+                                   gateway.name());
+    this->down_since.erase(gateway.name());
 }
 
 void soak_run::start_gateways(const std::string& settings)
@@ -116,6 +139,11 @@
     traits.service = service;
     traits.processing_time = request_work_time;
     traits.lost_per_hundred = 1;
+    const bool starts_during_run = !this->gateways.empty();
+    if (starts_during_run) {
+        traits.cold_time = cold_time;
+        this->arrivals.on_cold(now(), now() + cold_time, traits.id, cold_requests_per_second);
+    }
     traits.domain = domains[this->last_upstream % domains.size()];
     proxied_upstream proxied;
     proxied.upstream = std::make_unique<platform_upstream>(this->context, traits, this->upstream_runs);
@@ -134,12 +162,21 @@
 void soak_run::change_configuration()
 {
     const std::string moving = this->last_version % 2 == 0 ? services[1] : services[2];
-    put_configuration(this->store, ++this->last_version,
-                      {{"/steady/", services[0], true},
-                       {"/once/", services[0], false},
-                       {guarantee_checker::moving_prefix, moving, false},
-                       {"/other/", moving == services[1] ? services[2] : services[1], true}});
-    this->checker.on_configuration(now(), moving);
+    const std::string other = moving == services[1] ? services[2] : services[1];
+    std::vector<route_description> routes{{"/steady/", services[0], true},
+                                          {"/once/", services[0], false},
+                                          {"/moving/", moving, false},
+                                          {"/other/", other, true}};
+    const bool has_added_route = this->last_version % 3 != 0;
+    if (has_added_route) {
+        routes.push_back({"/added/", other, true});
+    }
+    put_configuration(this->store, ++this->last_version, routes, cold_requests_per_second);
+    this->service_by_prefix.clear();
+    for (const auto& route : routes) {
+        this->service_by_prefix[route.path_prefix] = route.service;
+    }
+    this->checker.on_configuration(now(), this->service_by_prefix);
 }
 
 std::vector<std::string> soak_run::execute()
@@ -163,9 +200,14 @@
     this->watch_processes();
     this->context.run();
     for (const auto& run : this->upstream_runs) {
-        this->checker.on_execution(run.started_at, run.request, run.upstream, run.service);
+        if (run.is_executed) {
+            this->checker.on_execution(run.started_at, run.request, run.upstream, run.service);
+        }
+        this->arrivals.on_arrival(run.started_at, run.request, run.upstream, run.service);
     }
-    return this->checker.violations();
+    auto violations = this->checker.violations();
+    std::ranges::copy(this->arrivals.violations(), std::back_inserter(violations));
+    return violations;
 }
 
 std::string soak_run::summary() const
@@ -177,6 +219,7 @@
     };
     add("whole", request_outcome::whole);
     add("refused", request_outcome::refused);
+    add("no route", request_outcome::no_route);
     add("unknown", request_outcome::unknown);
     add("broken", request_outcome::broken);
     text += "; faults and planned operations:";
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "arrival_checker.h"
 #include "gateway_process.h"
 #include "guarantee_checker.h"
 #include "http/http_client.h"
@@ -70,6 +71,8 @@
     void choose_gateway(soak_caller& caller);
     void inject_next_fault();
     void inject_process_fault();
+    void kill_gateway(gateway_process& gateway);
+    void kill_all_gateways();
     void inject_store_path_fault();
     void inject_store_fault();
     void inject_upstream_fault();
@@ -80,7 +83,9 @@
     void watch_processes();
     void end_fault_injection();
     void run_after(std::chrono::milliseconds time, action callback);
-    void record_fault(std::chrono::milliseconds time);
+    void restart_gateway(gateway_process& gateway);
+    void record_store_fault(std::chrono::milliseconds time);
+    void record_gateway_fault(std::chrono::milliseconds time, const gateway_process& gateway);
     std::uint64_t draw(std::uint64_t bound);
     std::chrono::milliseconds draw_duration(int min_ms, int max_ms);
 
@@ -95,6 +100,9 @@
     std::vector<soak_caller> callers;
     std::map<std::string, int> event_counts;
     guarantee_checker checker{guarantee_bounds{}};
+    arrival_checker arrivals{arrival_bounds{}};
+    std::map<std::string, std::string> service_by_prefix; //!< of the current configuration
+    std::map<std::string, time_point> down_since;         //!< by gateway, from a kill or the start of a stop
     std::uint64_t last_request = 0;
     std::uint64_t last_upstream = 0;
     std::uint64_t last_version = 0;
--- /dev/null
+++ b/tools/soak/tests/arrival_checker_tests.cpp
@@ -0,0 +1,55 @@
+#include <catch2/catch.hpp>
+
+#include "arrival_checker.h"
+
+using namespace buckthornhill;
+using namespace buckthornhill::soak;
+using std::chrono::milliseconds;
+
+namespace {
+const time_point start{std::chrono::seconds(1000)};
+
+time_point at(int ms)
+{
+    return start + milliseconds(ms);
+}
+
+//! Records `count` requests, one each millisecond, that each reach `upstream` once.
+void arrive(arrival_checker& checker, int first_ms, int count, const std::string& upstream = "u1")
+{
+    for (int ms = first_ms; ms < first_ms + count; ++ms) {
+        const auto id = upstream + "-" + std::to_string(ms);
+        checker.on_sent(at(ms), id, "s1");
+        checker.on_arrival(at(ms), id, upstream, "s1");
+    }
+}
+} // namespace
+
+TEST_CASE("[GIVEN] retries in one window [WHEN] they exceed ratio and burst [THEN] the checker reports it",
+          "[soak]")
+{
+    arrival_checker checker({.retry_ratio = 0.2, .retry_burst = 5});
+    arrive(checker, 0, 100);
+    for (int ms = 0; ms < 25; ++ms) {
+        checker.on_arrival(at(5000 + ms), "u1-" + std::to_string(ms), "u2", "s1");
+    }
+    CHECK(checker.violations().empty());
+    checker.on_arrival(at(15001), "u1-30", "u2", "s1");
+    CHECK(checker.violations().empty());
+    checker.on_arrival(at(5100), "u1-31", "u2", "s1");
+    CHECK(checker.violations().size() == 1);
+}
+
+TEST_CASE("[GIVEN] a cold upstream [WHEN] it gets more requests in a second than its rate allows [THEN] the "
+          "checker reports it",
+          "[soak]")
+{
+    arrival_checker checker({.cold_load_factor = 1.5, .cold_slack = 5});
+    checker.on_cold(at(0), at(3000), "u1", 8);
+    arrive(checker, 0, 17);
+    arrive(checker, 3000, 30);
+    arrive(checker, 0, 30, "u2");
+    CHECK(checker.violations().empty());
+    arrive(checker, 900, 1);
+    CHECK(checker.violations().size() == 1);
+}
--- a/tools/soak/tests/guarantee_checker_tests.cpp
+++ b/tools/soak/tests/guarantee_checker_tests.cpp
@@ -68,10 +68,22 @@
     }
     SECTION("a configuration that is not in force in time")
     {
-        checker.on_configuration(at(0), "s1");
-        checker.on_configuration(at(5000), "s2");
+        checker.on_configuration(at(0), {{"/moving/", "s1"}});
+        checker.on_configuration(at(5000), {{"/moving/", "s2"}});
         serve(checker, "1/moving/", 7001, "u1", "s1");
     }
+    SECTION("an added route that is not served in time")
+    {
+        checker.on_configuration(at(0), {{"/added/", "s1"}});
+        checker.on_sent(at(2001), "1/added/", "g1", true);
+        checker.on_outcome(at(2002), "1/added/", request_outcome::no_route);
+    }
+    SECTION("a dropped route that is still served")
+    {
+        checker.on_configuration(at(0), {{"/added/", "s1"}});
+        checker.on_configuration(at(5000), {});
+        serve(checker, "1/added/", 7001, "u1", "s1");
+    }
     SECTION("a request cut off by a planned stop")
     {
         checker.on_sent(at(0), "1", "g1", false);
@@ -92,8 +104,8 @@
           "[soak]")
 {
     guarantee_checker checker({});
-    checker.on_configuration(at(0), "s1");
-    checker.on_configuration(at(5000), "s2");
+    checker.on_configuration(at(0), {{"/moving/", "s1"}});
+    checker.on_configuration(at(5000), {{"/moving/", "s2"}});
     serve(checker, "1/moving/", 6900, "u1", "s1");
     checker.on_leaving(at(20000), "u2");
     serve(checker, "2", 21900, "u2");
@@ -101,6 +113,31 @@
 
     serve(checker, "3", 23000, "u2");
     CHECK(checker.violations().size() == 1);
-    checker.on_injected_fault(at(16500), at(17000));
-    CHECK(checker.violations().empty());
+    SECTION("of the store, before the upstream leaves")
+    {
+        checker.on_store_fault(at(16500), at(17001));
+        CHECK(checker.violations().empty());
+    }
+    SECTION("of the gateway, before the request")
+    {
+        checker.on_gateway_fault(at(19000), at(20001), "g1");
+        CHECK(checker.violations().empty());
+    }
+    SECTION("of the path to the upstream")
+    {
+        checker.on_upstream_fault(at(22000), at(22500), "u2");
+        CHECK(checker.violations().empty());
+    }
+}
+
+//! Guards against a fault of one gateway that excuses all others.
+TEST_CASE("[GIVEN] a fault of one gateway [WHEN] another one breaks a bound [THEN] the violation is reported",
+          "[soak]")
+{
+    guarantee_checker checker({});
+    checker.on_leaving(at(20000), "u2");
+    serve(checker, "1", 23000, "u2");
+    checker.on_gateway_fault(at(19000), at(23000), "g2");
+    checker.on_upstream_fault(at(19000), at(23000), "u1");
+    CHECK(checker.violations().size() == 1);
 }
