Take only a response with the request's id for its answer

Cause: additional bytes after a complete response arrive while the next request is in progress on the connection. A response without an id passed for the answer to any request, so a stray refusal was believed: the request was sent to a second upstream, or refused, while the first one ran it. Change: a response belongs to a request only with its id; others are skipped and the connection is not used again. Upstreams echo the id in every response. The new unit test did not exist in a form that the old code could compile; its case "no id" is the old behaviour.

--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -323,8 +323,7 @@
         action.needs_recent_connection ? http::connection_choice::recent : http::connection_choice::reuse;
     terms.accepts_unframed_body = true;
     terms.is_expected = [this, id = flow.request_id](const http::http_response& response) {
-        const auto response_id = this->dialect.read_response(response).request_id;
-        return response_id.empty() || response_id == id;
+        return is_response_to(id, this->dialect.read_response(response));
     };
     flow.upstream = action.upstream;
     flow.attempt = action.attempt;
--- a/src/gateway/gateway_translation.cpp
+++ b/src/gateway/gateway_translation.cpp
@@ -31,6 +31,11 @@
     return facts;
 }
 
+bool is_response_to(const std::string& request_id, const response_metadata& metadata)
+{
+    return request_id.empty() || metadata.request_id == request_id;
+}
+
 proxy::attempt_outcome outcome_of(const http::call_result& result, const response_metadata& metadata)
 {
     proxy::attempt_outcome outcome;
--- a/src/gateway/gateway_translation.h
+++ b/src/gateway/gateway_translation.h
@@ -15,6 +15,9 @@
 //! The proxy core's input for a caller's request.
 proxy::request_facts facts_of(const http::http_request& request, const request_metadata& metadata,
                               flow_id flow, time_point arrived_at);
+//! Whether a response that arrived on the connection of a request belongs to it. Upstreams repeat the id, so
+//! bytes without one belong to no request, whatever they say.
+bool is_response_to(const std::string& request_id, const response_metadata& metadata);
 //! The proxy core's input for the result of a call to an upstream. `metadata` is used only when the call is
 //! complete.
 proxy::attempt_outcome outcome_of(const http::call_result& result, const response_metadata& metadata);
--- a/src/gateway/tests/gateway_translation_tests.cpp
+++ b/src/gateway/tests/gateway_translation_tests.cpp
@@ -72,3 +72,20 @@
     unsigned_response.is_authentic = false;
     CHECK(outcome_of(complete(200), unsigned_response).status == proxy::transport_status::broken);
 }
+
+//! Guards against stray bytes that pass for a rejection, after which the request runs a second time or is
+//! refused although it ran.
+TEST_CASE(
+    "[GIVEN] a request with an id [WHEN] bytes without it, or with another id, arrive [THEN] they are no "
+    "response to it",
+    "[gateway][honest answers][pattern: additional bytes after a response]")
+{
+    response_metadata stray;
+    stray.is_not_executed = true;
+    CHECK_FALSE(is_response_to("id-1", stray));
+    stray.request_id = "id-0";
+    CHECK_FALSE(is_response_to("id-1", stray));
+    stray.request_id = "id-1";
+    CHECK(is_response_to("id-1", stray));
+    CHECK(is_response_to({}, {}));
+}
