Withhold a status that promises more than the upstream said

What callers would see: a 503, 429 or 408 that an upstream sends without its mark of a rejection reaches the caller, who takes it for "not run, and never will be", although the request may have run (REFUSED). Cause: responses of upstreams are passed on unchanged, whatever their status promises. The log has the status. Evidence: the new case of gateway_tests; before, outcome_of made a complete outcome of it (no field told the status).

--- a/src/gateway/gateway_dialect.h
+++ b/src/gateway/gateway_dialect.h
@@ -27,7 +27,9 @@
     std::string request_id;       //!< of the answered request; empty when the upstream did not send it
     bool is_not_executed = false; //!< the upstream did not execute the request
     bool is_misdirected = false;  //!< this address now belongs to another upstream
-    bool is_authentic = true;     //!< false for a success response without the upstream's signature
+    //! Callers take the status for a guarantee that the request was not executed.
+    bool promises_not_executed = false;
+    bool is_authentic = true; //!< false for a success response without the upstream's signature
     std::optional<placement::load_report> load;
 };
 
--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -343,7 +343,11 @@
                               : response_metadata{};
     const auto outcome = outcome_of(result, metadata);
     if (is_current && outcome.status != proxy::transport_status::complete) {
-        log_failed_attempt(found->second, attempt, result.detail);
+        const bool is_withheld = result.status == http::call_status::complete;
+        log_failed_attempt(found->second, attempt,
+                           is_withheld ? "the response must not be forwarded, status " +
+                                             std::to_string(result.response.status)
+                                       : result.detail);
     }
     if (is_current) {
         found->second.response = std::move(result.response);
--- a/src/gateway/tests/gateway_translation_tests.cpp
+++ b/src/gateway/tests/gateway_translation_tests.cpp
@@ -89,3 +89,17 @@
     CHECK(is_response_to("id-1", stray));
     CHECK(is_response_to({}, {}));
 }
+
+//! Guards against an upstream's status that tells the caller that nothing ran although the upstream did not
+//! say so.
+TEST_CASE(
+    "[GIVEN] a response that only callers take for a rejection [WHEN] it is translated [THEN] it is not "
+    "forwarded",
+    "[gateway][honest answers]")
+{
+    response_metadata metadata;
+    metadata.promises_not_executed = true;
+    CHECK(outcome_of(complete(503), metadata).status == proxy::transport_status::broken);
+    metadata.is_not_executed = true;
+    CHECK(outcome_of(complete(503), metadata).status == proxy::transport_status::complete);
+}
