Divide the retry budget among all instances known lately

Cause: the burst was divided by the instances seen live. In a cut, or when heartbeats are late, each instance sees few others and takes their parts, while they go on spending theirs. Change: the burst is divided by the instances that were known in the last 20 s, or by the live ones if they are more; the rate of cold upstreams is divided in this way already. Evidence: nine instances that see only themselves, all attempts broken: 207 repeats in ten seconds, allowed are 130 (the new test failed so); now it passes.

--- a/src/placement/cold_upstream_limiter.cpp
+++ b/src/placement/cold_upstream_limiter.cpp
@@ -23,12 +23,16 @@
                   [now](const auto& item) { return now - item.second > instance_retention; });
 }
 
+std::size_t cold_upstream_limiter::lately_known_count() const
+{
+    return this->last_known_at.size() - this->last_known_at.count(this->self) + 1;
+}
+
 std::size_t cold_upstream_limiter::sender_count(double requests_per_second) const
 {
-    const auto others = this->last_known_at.size() - this->last_known_at.count(this->self);
     const auto whole_requests_per_second =
         static_cast<std::size_t>(std::max(1.0, std::floor(requests_per_second)));
-    return std::min(whole_requests_per_second, others + 1);
+    return std::min(whole_requests_per_second, this->lately_known_count());
 }
 
 bool cold_upstream_limiter::may_send(time_point now, const upstream_id& upstream,
--- a/src/placement/cold_upstream_limiter.h
+++ b/src/placement/cold_upstream_limiter.h
@@ -24,6 +24,9 @@
     //! not all use its part of the rate.
     void set_instances(time_point now, const std::vector<known_instance>& known);
 
+    //! This instance and all others that were known lately.
+    std::size_t lately_known_count() const;
+
     //! `requests_per_second` is the rate that `upstream` can handle from all instances together.
     bool may_send(time_point now, const upstream_id& upstream, double requests_per_second) const;
     void on_sent(time_point now, const upstream_id& upstream, double requests_per_second);
--- a/src/placement/upstream_picker.h
+++ b/src/placement/upstream_picker.h
@@ -31,6 +31,8 @@
         this->cold_limiter.set_instances(now, known);
         this->plan.set_instances(now, known);
     }
+    //! This instance and all others that were known lately, live or not.
+    std::size_t lately_known_instances() const { return this->cold_limiter.lately_known_count(); }
     void on_tick(time_point now, const fleet::upstream_roster& roster);
 
     const upstream_load* find_load(const upstream_id& upstream) const;
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -67,8 +67,9 @@
 void proxy_core::set_instances(time_point now, std::size_t live,
                                const std::vector<placement::known_instance>& known)
 {
-    this->live_instances = std::max<std::size_t>(1, live);
     this->picker.set_instances(now, known);
+    //! NOTE Instances that are out of sight still use their part of the limits.
+    this->budget_instances = std::max(live, this->picker.lately_known_instances());
 }
 
 void proxy_core::set_retry_budget(double ratio, double burst)
@@ -216,7 +217,7 @@
     auto& limiter = this->retry_limiters.try_emplace(flow.requirements.service, window).first->second;
     return limiter.try_spend(now, this->configuration.retry_ratio * share,
                              this->configuration.retry_burst * share /
-                                 static_cast<double>(this->live_instances));
+                                 static_cast<double>(this->budget_instances));
 }
 
 void proxy_core::on_not_run(time_point now, proxy_flow& flow, bool was_rejected)
--- a/src/proxy/proxy_core.h
+++ b/src/proxy/proxy_core.h
@@ -29,8 +29,8 @@
     //! The process was suspended: refuses the waiting requests, since their callers may have left long ago.
     void on_pause(time_point now);
     //! Limits that hold for all instances together are divided among them: the retry budget by the number of
-    //! `live` instances, this one included, and the rate to cold upstreams among the `known` instances, live
-    //! or not.
+    //! instances that are `live`, this one included, or were known lately, and the rate to cold upstreams
+    //! among the `known` instances, live or not.
     void set_instances(time_point now, std::size_t live, const std::vector<placement::known_instance>& known);
 
     void set_retry_budget(double ratio, double burst);
@@ -70,7 +70,7 @@
     waiting_requests waiting;
     std::unordered_map<flow_id, proxy_flow> flows;
     std::map<service_id, retry_limiter> retry_limiters;
-    std::size_t live_instances = 1;
+    std::size_t budget_instances = 1; //!< among which the retry budget is divided
     std::vector<action> outbox;
 };
 } // namespace buckthornhill::proxy
--- a/src/proxy/tests/proxy_core_tests.cpp
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -1,3 +1,5 @@
+#include <memory>
+
 #include <catch2/catch.hpp>
 
 #include "global/pause_detector.h"
@@ -380,3 +382,73 @@
     }
     CHECK(to_b == 10);
 }
+
+namespace {
+//! Sends requests for ten seconds through all `instances`, whose attempts all end with `outcome`, and returns
+//! the number of attempts beyond the first of each request.
+int count_retries(std::vector<std::unique_ptr<proxy_fixture>>& instances, const attempt_outcome& outcome,
+                  int requests_per_instance)
+{
+    int retries = 0;
+    for (int i = 0; i < requests_per_instance; ++i) {
+        for (auto& instance : instances) {
+            instance->request(static_cast<std::uint64_t>(i));
+            for (auto actions = instance->core.take_actions(); !actions.empty();
+                 actions = instance->core.take_actions()) {
+                for (const auto& action : actions) {
+                    if (const auto* attempt = std::get_if<start_attempt_action>(&action)) {
+                        retries += attempt->attempt > 1 ? 1 : 0;
+                        instance->finish_attempt(*attempt, outcome);
+                    }
+                }
+            }
+            instance->now += std::chrono::seconds(10) / requests_per_instance;
+        }
+    }
+    return retries;
+}
+
+std::vector<std::unique_ptr<proxy_fixture>> make_instances(std::size_t count)
+{
+    proxy_configuration configuration;
+    configuration.retry_burst = 58;
+    configuration.placement.failures_to_eject = 1000000; // so that only the retry budget limits retries
+    std::vector<std::unique_ptr<proxy_fixture>> instances;
+    for (std::size_t i = 0; i < count; ++i) {
+        instances.push_back(std::make_unique<proxy_fixture>(20, configuration));
+    }
+    return instances;
+}
+
+std::vector<placement::known_instance> known_instances(std::size_t count)
+{
+    std::vector<placement::known_instance> known;
+    for (std::size_t i = 1; i <= count; ++i) {
+        known.push_back({instance_id("i" + std::to_string(i)), here.region});
+    }
+    return known;
+}
+
+constexpr double allowed_retries(int requests)
+{
+    return 0.2 * requests + 58;
+}
+} // namespace
+
+//! Guards against a retry budget that grows with each instance that has lost sight of the others.
+TEST_CASE(
+    "[GIVEN] instances that know each other [WHEN] each of them sees only itself live [THEN] their retries "
+    "together keep to the budget",
+    "[proxy][pattern: instances lose sight of each other]")
+{
+    constexpr std::size_t count = 9;
+    constexpr int requests = 40;
+    auto instances = make_instances(count);
+    for (auto& instance : instances) {
+        instance->core.set_instances(instance->now, count, known_instances(count));
+        instance->now += std::chrono::seconds(12);
+        instance->core.set_instances(instance->now, 1, known_instances(1));
+    }
+    CHECK(count_retries(instances, outcome_of_status(transport_status::broken), requests) <=
+          allowed_retries(static_cast<int>(count) * requests));
+}
