Spend the retry burst only after a whole window of uptime

Cause: a process that has just started sees itself alone, so it took the whole burst, and what its predecessor had spent in the same window was forgotten. When all instances restart under load, each of nine may spend the burst of all. Change: until a process has run for one budget window it spends only the ratio of its own requests. Evidence: nine instances just started, all attempts broken: 207 repeats in ten seconds, allowed are 130 (the new test failed so); now it passes. The fixture of the other tests states an uptime of a minute; their checks are unchanged.

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -67,6 +67,7 @@
 void proxy_core::set_instances(time_point now, std::size_t live,
                                const std::vector<placement::known_instance>& known)
 {
+    this->started_at = this->started_at.value_or(now);
     this->picker.set_instances(now, known);
     //! NOTE Instances that are out of sight still use their part of the limits.
     this->budget_instances = std::max(live, this->picker.lately_known_instances());
@@ -111,6 +112,7 @@
 
 void proxy_core::on_request(time_point now, const request_facts& facts)
 {
+    this->started_at = this->started_at.value_or(now);
     auto& flow = this->flows[facts.flow];
     flow.facts = facts;
     flow.arrived_at = facts.arrived_at;
@@ -215,9 +217,12 @@
     const double share = this->configuration.usable_retry_share;
     const auto window = std::chrono::duration_cast<duration>(this->configuration.retry_window);
     auto& limiter = this->retry_limiters.try_emplace(flow.requirements.service, window).first->second;
-    return limiter.try_spend(now, this->configuration.retry_ratio * share,
-                             this->configuration.retry_burst * share /
-                                 static_cast<double>(this->budget_instances));
+    //! NOTE A process that has just started knows neither the other instances nor what its predecessor spent.
+    const bool knows_window = this->started_at && now - *this->started_at >= window;
+    const double burst =
+        knows_window ? this->configuration.retry_burst * share / static_cast<double>(this->budget_instances)
+                     : 0;
+    return limiter.try_spend(now, this->configuration.retry_ratio * share, burst);
 }
 
 void proxy_core::on_not_run(time_point now, proxy_flow& flow, bool was_rejected)
--- a/src/proxy/proxy_core.h
+++ b/src/proxy/proxy_core.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -71,6 +72,7 @@
     std::unordered_map<flow_id, proxy_flow> flows;
     std::map<service_id, retry_limiter> retry_limiters;
     std::size_t budget_instances = 1; //!< among which the retry budget is divided
+    std::optional<time_point> started_at;
     std::vector<action> outbox;
 };
 } // namespace buckthornhill::proxy
--- a/src/proxy/tests/proxy_core_tests.cpp
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -18,9 +18,12 @@
 class proxy_fixture
 {
 public:
-    explicit proxy_fixture(int upstreams, const proxy_configuration& configuration = {})
+    //! The instance has run for `uptime`; by default for so long that it may use its whole retry budget.
+    explicit proxy_fixture(int upstreams, const proxy_configuration& configuration = {},
+                           duration uptime = std::chrono::seconds(60))
         : core(instance_id("i1"), here, configuration, [this] { return ++this->random_state; })
     {
+        this->core.set_instances(this->now - uptime, 1, {});
         this->configure(1, repeat_rule::repeatable);
         for (int i = 0; i < upstreams; ++i) {
             this->core.upstreams().upsert(this->now, entry(i));
@@ -408,14 +411,15 @@
     return retries;
 }
 
-std::vector<std::unique_ptr<proxy_fixture>> make_instances(std::size_t count)
+std::vector<std::unique_ptr<proxy_fixture>> make_instances(std::size_t count,
+                                                           duration uptime = std::chrono::seconds(60))
 {
     proxy_configuration configuration;
     configuration.retry_burst = 58;
     configuration.placement.failures_to_eject = 1000000; // so that only the retry budget limits retries
     std::vector<std::unique_ptr<proxy_fixture>> instances;
     for (std::size_t i = 0; i < count; ++i) {
-        instances.push_back(std::make_unique<proxy_fixture>(20, configuration));
+        instances.push_back(std::make_unique<proxy_fixture>(20, configuration, uptime));
     }
     return instances;
 }
@@ -452,3 +456,19 @@
     CHECK(count_retries(instances, outcome_of_status(transport_status::broken), requests) <=
           allowed_retries(static_cast<int>(count) * requests));
 }
+
+//! Guards against restarted instances that each spend the whole budget before they know the others.
+TEST_CASE(
+    "[GIVEN] instances that have just started [WHEN] they don't know each other yet [THEN] their retries "
+    "together keep to the budget",
+    "[proxy][pattern: all instances restart under load]")
+{
+    constexpr std::size_t count = 9;
+    constexpr int requests = 40;
+    auto instances = make_instances(count, duration{});
+    for (auto& instance : instances) {
+        instance->core.set_instances(instance->now, 1, known_instances(1));
+    }
+    CHECK(count_retries(instances, outcome_of_status(transport_status::broken), requests) <=
+          allowed_retries(static_cast<int>(count) * requests));
+}
