Count attempts after 421 as retries

Cause: an attempt that was answered with 421 counted as unsent, like one that found no connection, so the next attempt was not counted. But it had reached an upstream. Change: every attempt after one that reached an upstream is a retry. Evidence: one instance, 200 requests whose upstreams all answer 421: 600 repeats, allowed are 98 (the new test failed so); now it passes.

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -194,10 +194,10 @@
     const bool is_unsent = outcome.status == transport_status::connect_failed || outcome.is_misdirected;
     if (is_unsent) {
         ++flow.unsent_attempts;
-        this->on_not_run(now, flow, false);
+        this->on_not_run(now, flow, outcome);
     } else if (outcome.status == transport_status::complete && outcome.is_not_executed) {
         ++flow.upstreams_reached;
-        this->on_not_run(now, flow, true);
+        this->on_not_run(now, flow, outcome);
     } else if (outcome.status == transport_status::complete && !outcome.is_server_failure) {
         this->outbox.push_back(deliver_action{id, attempt});
         this->finish(id);
@@ -225,11 +225,14 @@
     return limiter.try_spend(now, this->configuration.retry_ratio * share, burst);
 }
 
-void proxy_core::on_not_run(time_point now, proxy_flow& flow, bool was_rejected)
+void proxy_core::on_not_run(time_point now, proxy_flow& flow, const attempt_outcome& outcome)
 {
-    const bool may_continue = was_rejected ? this->try_spend_retry(now, flow)
-                                           : flow.unsent_attempts < this->configuration.max_unsent_attempts;
-    if (may_continue) {
+    const bool has_arrived = outcome.status == transport_status::complete;
+    const bool was_rejected = has_arrived && !outcome.is_misdirected;
+    const bool has_attempts_left =
+        was_rejected || flow.unsent_attempts < this->configuration.max_unsent_attempts;
+    //! NOTE What reached any upstream makes the next attempt a retry, even if it was meant for another one.
+    if (has_attempts_left && (!has_arrived || this->try_spend_retry(now, flow))) {
         if (flow.route_version != this->table.version() && !this->bind_route(flow)) {
             this->outbox.push_back(no_route_action{flow.facts.flow});
             this->finish(flow.facts.flow);
--- a/src/proxy/proxy_core.h
+++ b/src/proxy/proxy_core.h
@@ -53,7 +53,7 @@
     void dispatch(time_point now, proxy_flow& flow);
     void send(time_point now, proxy_flow& flow);
     void dispatch_waiting(time_point now);
-    void on_not_run(time_point now, proxy_flow& flow, bool was_rejected);
+    void on_not_run(time_point now, proxy_flow& flow, const attempt_outcome& outcome);
     void on_may_have_run(time_point now, proxy_flow& flow, const attempt_outcome& outcome);
     //! Returns whether the request may be sent to another upstream, and then counts a retry.
     bool try_spend_retry(time_point now, const proxy_flow& flow);
--- a/src/proxy/tests/proxy_core_tests.cpp
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -472,3 +472,38 @@
     CHECK(count_retries(instances, outcome_of_status(transport_status::broken), requests) <=
           allowed_retries(static_cast<int>(count) * requests));
 }
+
+//! Guards against repeats after 421 that nobody counts.
+TEST_CASE(
+    "[GIVEN] addresses that belong to other upstreams now [WHEN] requests are sent there [THEN] the repeats "
+    "keep to the budget",
+    "[proxy][pattern: addresses are used again]")
+{
+    constexpr int requests = 200;
+    auto instances = make_instances(1);
+    auto& instance = *instances.front();
+    int sends = 0;
+    int requests_sent = 0;
+    for (int i = 0; i < requests; ++i) {
+        //! Each request finds four upstreams whose registration is renewed and whose address answers as
+        //! another.
+        for (int number = 0; number < 20; ++number) {
+            auto moved = proxy_fixture::entry(number);
+            moved.started_at_ms = static_cast<std::uint64_t>(i) + 2;
+            instance.core.upstreams().upsert(instance.now, moved);
+        }
+        instance.request(static_cast<std::uint64_t>(i));
+        ++requests_sent;
+        for (auto actions = instance.core.take_actions(); !actions.empty();
+             actions = instance.core.take_actions()) {
+            for (const auto& action : actions) {
+                if (const auto* attempt = std::get_if<start_attempt_action>(&action)) {
+                    ++sends;
+                    instance.finish_attempt(*attempt, misdirected());
+                }
+            }
+        }
+        instance.now += milliseconds(20);
+    }
+    CHECK(sends - requests_sent <= allowed_retries(requests_sent));
+}
