--- a/tools/soak/arrival_checker.cpp
+++ b/tools/soak/arrival_checker.cpp
@@ -13,9 +13,10 @@
 }
 } // namespace
 
-void arrival_checker::on_sent(time_point at, const std::string& request, const std::string& service)
+void arrival_checker::on_sent(time_point at, const std::string& request, const std::string& service,
+                              const std::string& gateway)
 {
-    this->sent_at[request] = at;
+    this->sent[request] = {at, gateway};
     this->sent_to[service].push_back(at);
 }
 
@@ -23,14 +24,82 @@
                                  const std::string& service)
 {
     this->by_service[service][request].push_back(at);
-    const auto sent = this->sent_at.find(request);
-    this->by_upstream[upstream].push_back({at, sent == this->sent_at.end() ? at : sent->second});
+    const auto known = this->sent.find(request);
+    const auto origin = known == this->sent.end() ? std::pair{at, std::string()} : known->second;
+    this->by_upstream[upstream].push_back({at, origin.first, origin.second});
 }
 
 void arrival_checker::on_cold(time_point from, time_point until, const std::string& upstream,
                               double requests_per_second)
 {
-    this->cold_periods.emplace(upstream, cold_period{from, until, requests_per_second});
+    this->cold_periods.emplace(upstream, rate_period{from, until, requests_per_second});
+}
+
+void arrival_checker::on_limit(time_point from, time_point until, const std::string& upstream,
+                               double requests_per_second)
+{
+    this->limit_periods.emplace(upstream, rate_period{from, until, requests_per_second});
+}
+
+void arrival_checker::on_limit_named(time_point at, const std::string& request, const std::string& upstream)
+{
+    const auto known = this->sent.find(request);
+    if (known != this->sent.end()) {
+        this->limit_notices[{known->second.second, upstream}].push_back(at);
+    }
+}
+
+void arrival_checker::on_gateway_fault(time_point from, time_point until, const std::string& gateway)
+{
+    this->gateway_faults[gateway].push_back({from, until});
+}
+
+bool arrival_checker::is_limited(const std::string& upstream, const rate_period& period,
+                                 const arrival& one) const
+{
+    const auto notices = this->limit_notices.find({one.gateway, upstream});
+    if (notices == this->limit_notices.end()) {
+        return false;
+    }
+    const auto first =
+        std::ranges::find_if(notices->second, [&](time_point at) { return at >= period.from; });
+    if (first == notices->second.end() || *first + this->bounds.limit_notice > one.at) {
+        return false;
+    }
+    const auto faults = this->gateway_faults.find(one.gateway);
+    return faults == this->gateway_faults.end() ||
+           std::ranges::none_of(faults->second, [&](const rate_period& fault) {
+               return fault.until >= period.from && fault.from <= one.at;
+           });
+}
+
+void arrival_checker::check_limit(const std::string& upstream, const rate_period& period,
+                                  std::vector<std::string>& found) const
+{
+    const auto arrivals = this->by_upstream.find(upstream);
+    if (arrivals == this->by_upstream.end()) {
+        return;
+    }
+    time_points counted;
+    for (const auto& one : arrivals->second) {
+        const bool is_in_period =
+            one.at >= period.from + this->bounds.limit_binds_after && one.at <= period.until;
+        if (is_in_period && this->is_limited(upstream, period, one)) {
+            counted.push_back(one.at);
+        }
+    }
+    std::ranges::sort(counted);
+    const std::chrono::duration<double> window = this->bounds.limit_window;
+    const double allowed =
+        period.requests_per_second * window.count() * this->bounds.limit_factor + this->bounds.limit_slack;
+    std::ptrdiff_t most = 0;
+    for (const auto end : counted) {
+        most = std::max(most, count_between(counted, end - this->bounds.limit_window, end));
+    }
+    if (static_cast<double>(most) > allowed) {
+        found.push_back("stated limit: " + upstream + " got " + std::to_string(most) +
+                        " requests in one window; allowed are " + std::to_string(static_cast<int>(allowed)));
+    }
 }
 
 void arrival_checker::check_retries(const std::string& service, time_points retries,
@@ -61,7 +130,7 @@
     }
 }
 
-void arrival_checker::check_cold(const std::string& upstream, const cold_period& period,
+void arrival_checker::check_cold(const std::string& upstream, const rate_period& period,
                                  std::vector<std::string>& found) const
 {
     const auto arrivals = this->by_upstream.find(upstream);
@@ -101,6 +170,9 @@
     for (const auto& [upstream, period] : this->cold_periods) {
         this->check_cold(upstream, period, found);
     }
+    for (const auto& [upstream, period] : this->limit_periods) {
+        this->check_limit(upstream, period, found);
+    }
     return found;
 }
 } // namespace buckthornhill::soak
--- a/tools/soak/arrival_checker.h
+++ b/tools/soak/arrival_checker.h
@@ -16,6 +16,12 @@
     std::chrono::milliseconds retry_window{10000};
     double cold_load_factor = 1.5;
     double cold_slack = 5; //!< requests in a second beyond the rate of a cold upstream
+    double limit_factor = 1.5;
+    double limit_slack = 5; //!< requests in a window beyond the limit that an upstream names
+    std::chrono::milliseconds limit_window{4000};
+    std::chrono::milliseconds limit_binds_after{3000}; //!< since it was named first
+    //! After a response that names a limit has passed through a gateway, until its requests count.
+    std::chrono::milliseconds limit_notice{500};
 };
 
 //! Records which requests reached the upstreams, whether they ran or were rejected, and reports the limits
@@ -29,12 +35,21 @@
     }
 
     //! A caller sent a request on a route to `service`.
-    void on_sent(time_point at, const std::string& request, const std::string& service);
+    void on_sent(time_point at, const std::string& request, const std::string& service,
+                 const std::string& gateway);
     void on_arrival(time_point at, const std::string& request, const std::string& upstream,
                     const std::string& service);
     //! The upstream takes `requests_per_second` from `from` to `until`.
     void on_cold(time_point from, time_point until, const std::string& upstream, double requests_per_second);
 
+    //! Each response of the upstream names this limit from `from` to `until`.
+    void on_limit(time_point from, time_point until, const std::string& upstream, double requests_per_second);
+    //! A response that names a limit reached the gateway that had sent the request.
+    void on_limit_named(time_point at, const std::string& request, const std::string& upstream);
+    //! The gateway restarted or froze, or was cut off, from `from` to `until`, which excuses it from the
+    //! limits.
+    void on_gateway_fault(time_point from, time_point until, const std::string& gateway);
+
     //! One line for each limit and upstream or service that exceeded it.
     std::vector<std::string> violations() const;
 
@@ -43,8 +58,9 @@
     {
         time_point at;
         time_point sent_at;
+        std::string gateway;
     };
-    struct cold_period
+    struct rate_period
     {
         time_point from;
         time_point until;
@@ -54,14 +70,21 @@
 
     void check_retries(const std::string& service, time_points retries,
                        std::vector<std::string>& found) const;
-    void check_cold(const std::string& upstream, const cold_period& period,
+    void check_cold(const std::string& upstream, const rate_period& period,
                     std::vector<std::string>& found) const;
+    void check_limit(const std::string& upstream, const rate_period& period,
+                     std::vector<std::string>& found) const;
+    //! The request counts for the limit: its gateway knew of it and is not excused.
+    bool is_limited(const std::string& upstream, const rate_period& period, const arrival& one) const;
 
     arrival_bounds bounds;
-    std::map<std::string, time_point> sent_at;                            //!< by request
+    std::map<std::string, std::pair<time_point, std::string>> sent;       //!< time and gateway, by request
     std::map<std::string, time_points> sent_to;                           //!< by service
     std::map<std::string, std::map<std::string, time_points>> by_service; //!< and by request
     std::map<std::string, std::vector<arrival>> by_upstream;
-    std::multimap<std::string, cold_period> cold_periods;
+    std::multimap<std::string, rate_period> cold_periods;
+    std::multimap<std::string, rate_period> limit_periods;
+    std::map<std::pair<std::string, std::string>, time_points> limit_notices; //!< by gateway and upstream
+    std::map<std::string, std::vector<rate_period>> gateway_faults;
 };
 } // namespace buckthornhill::soak
--- a/tools/soak/soak_callers.cpp
+++ b/tools/soak/soak_callers.cpp
@@ -63,7 +63,7 @@
     this->checker.on_sent(sent_at, request_id, gateway.name(), is_idempotent);
     const auto service = this->service_by_prefix.find(path);
     if (service != this->service_by_prefix.end()) {
-        this->arrivals.on_sent(sent_at, request_id, service->second);
+        this->arrivals.on_sent(sent_at, request_id, service->second, gateway.name());
     }
     const auto target = gateway.caller_endpoint();
     caller.client->send(target, request, sent_at + call_timeout, http::connection_choice::reuse,
--- a/tools/soak/soak_faults.cpp
+++ b/tools/soak/soak_faults.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds restart_pause{400};        //!< between the end of a process and its restart
 constexpr milliseconds process_poll_interval{50}; //!< between checks whether processes have ended
 constexpr milliseconds drain_duration{3500};      //!< for which a leaving upstream continues to serve
+constexpr milliseconds limit_duration{9000};      //!< for which an upstream names a limit
 constexpr milliseconds registration_expiry{1500}; //!< until the registration of a crashed upstream is removed
 } // namespace
 
@@ -163,7 +164,7 @@
     if (this->is_load_over) {
         return;
     }
-    switch (this->draw(4)) {
+    switch (this->draw(5)) {
     case 0:
         ++this->event_counts["configuration"];
         this->change_configuration();
@@ -173,6 +174,9 @@
         this->drain_random_upstream();
         break;
     case 2:
+        this->name_limit();
+        break;
+    case 3:
         ++this->event_counts["reload"];
         for (const auto& gateway : this->gateways) {
             gateway->rewrite_settings();
@@ -186,6 +190,28 @@
     this->run_after(this->draw_duration(300, 2500), [this] { this->start_planned_operation(); });
 }
 
+void soak_run::name_limit()
+{
+    auto& proxied =
+        *std::next(this->upstreams.begin(), static_cast<std::ptrdiff_t>(this->draw(this->upstreams.size())));
+    if (proxied.is_leaving || proxied.is_limited) {
+        return;
+    }
+    ++this->event_counts["limit"];
+    proxied.is_limited = true;
+    const auto id = proxied.upstream->id();
+    const double limit = static_cast<double>(20 + this->draw(200)) / 10;
+    const auto start = std::chrono::steady_clock::now();
+    proxied.upstream->set_limit(limit);
+    this->arrivals.on_limit(start, start + limit_duration, id, limit);
+    this->run_after(limit_duration, [this, id] {
+        if (auto* limited = this->find_upstream(id)) {
+            limited->upstream->set_limit(std::nullopt);
+            limited->is_limited = false;
+        }
+    });
+}
+
 void soak_run::drain_random_upstream()
 {
     auto& proxied =
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -108,15 +108,20 @@
 
 void soak_run::record_gateway_fault(milliseconds time, const gateway_process& gateway)
 {
-    this->checker.on_gateway_fault(now(), now() + time, gateway.name());
+    this->excuse_gateway(now(), now() + time, gateway);
+}
+
+void soak_run::excuse_gateway(time_point from, time_point until, const gateway_process& gateway)
+{
+    this->checker.on_gateway_fault(from, until, gateway.name());
+    this->arrivals.on_gateway_fault(from, until, gateway.name());
 }
 
 void soak_run::restart_gateway(gateway_process& gateway)
 {
     gateway.start();
     const auto since = this->down_since.find(gateway.name());
-    this->checker.on_gateway_fault(since == this->down_since.end() ? now() : since->second, now(),
-                                   gateway.name());
+    this->excuse_gateway(since == this->down_since.end() ? now() : since->second, now(), gateway);
     this->down_since.erase(gateway.name());
 }
 
@@ -204,6 +209,9 @@
             this->checker.on_execution(run.started_at, run.request, run.upstream, run.service);
         }
         this->arrivals.on_arrival(run.started_at, run.request, run.upstream, run.service);
+        if (run.limit_named_at) {
+            this->arrivals.on_limit_named(*run.limit_named_at, run.request, run.upstream);
+        }
     }
     auto violations = this->checker.violations();
     std::ranges::copy(this->arrivals.violations(), std::back_inserter(violations));
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -50,6 +50,7 @@
         std::unique_ptr<platform::standins::platform_upstream> upstream;
         std::unique_ptr<loopback_proxy> proxy;
         bool is_leaving = false;
+        bool is_limited = false; //!< its responses name a limit
     };
     struct soak_caller
     {
@@ -84,6 +85,9 @@
     void end_fault_injection();
     void run_after(std::chrono::milliseconds time, action callback);
     void restart_gateway(gateway_process& gateway);
+    void excuse_gateway(time_point from, time_point until, const gateway_process& gateway);
+    //! An upstream names a limit in its responses for some seconds.
+    void name_limit();
     void record_store_fault(std::chrono::milliseconds time);
     void record_gateway_fault(std::chrono::milliseconds time, const gateway_process& gateway);
     std::uint64_t draw(std::uint64_t bound);
--- a/tools/soak/tests/arrival_checker_tests.cpp
+++ b/tools/soak/tests/arrival_checker_tests.cpp
@@ -19,7 +19,7 @@
 {
     for (int ms = first_ms; ms < first_ms + count; ++ms) {
         const auto id = upstream + "-" + std::to_string(ms);
-        checker.on_sent(at(ms), id, "s1");
+        checker.on_sent(at(ms), id, "s1", "g1");
         checker.on_arrival(at(ms), id, upstream, "s1");
     }
 }
@@ -53,3 +53,29 @@
     arrive(checker, 900, 1);
     CHECK(checker.violations().size() == 1);
 }
+
+TEST_CASE(
+    "[GIVEN] an upstream that names a limit [WHEN] gateways that know of it exceed it [THEN] the checker "
+    "reports it",
+    "[soak]")
+{
+    arrival_checker checker({});
+    arrive(checker, 0, 1);
+    checker.on_limit(at(0), at(20000), "u1", 2);
+    arrive(checker, 2000, 40);
+    arrive(checker, 5000, 17);
+    SECTION("after it was named")
+    {
+        checker.on_limit_named(at(10), "u1-0", "u1");
+        CHECK(checker.violations().empty());
+        arrive(checker, 5100, 1);
+        CHECK(checker.violations().size() == 1);
+        checker.on_gateway_fault(at(2000), at(2100), "g1");
+        CHECK(checker.violations().empty());
+    }
+    SECTION("before the gateway heard of it")
+    {
+        arrive(checker, 5100, 20);
+        CHECK(checker.violations().empty());
+    }
+}
