Keep to the limit that an upstream names in its responses

Cause: the header is new and no code read it; and a limit for all instances that each is told alone has to be divided. Change: the adapter decodes the limit; the state of the upstream holds it for as long as responses name it. Each instance sends its equal part of 0.9 of it at even intervals with a phase of its own, divided by the instances known lately. An upstream whose interval is not over has no room: other upstreams, a short wait, or a refusal with the time until it can be sent. Log lines and a counter tell when a limit is heard and over.

--- a/src/gateway/gateway_dialect.h
+++ b/src/gateway/gateway_dialect.h
@@ -31,6 +31,7 @@
     bool promises_not_executed = false;
     bool is_authentic = true; //!< false for a success response without the upstream's signature
     std::optional<placement::load_report> load;
+    placement::upstream_signals signals;
 };
 
 struct lookup_query
--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -400,6 +400,16 @@
                   action.is_timeout ? "timed_out" : "failed", "the request may have run");
 }
 
+void gateway_engine::run(const proxy::limit_changed_action& action)
+{
+    boost::json::object facts{{"upstream", action.upstream.str()}};
+    if (action.requests_per_second) {
+        facts["requests_per_second"] = *action.requests_per_second;
+    }
+    log::event("upstreams", action.requests_per_second ? "limit_named" : "limit_over", std::move(facts));
+    this->metrics.on_upstream_signal(action.requests_per_second ? "limit_named" : "limit_over");
+}
+
 void gateway_engine::respond(flow_id id, http::http_response response, const std::string& outcome,
                              const std::string& reason)
 {
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -28,6 +28,10 @@
                       .Help("Look-ups answered.")
                       .Register(registry)
                       .Add({}))
+        , upstream_signals(prometheus::BuildCounter()
+                               .Name("buckthornhill_gateway_upstream_signals_total")
+                               .Help("Beginnings and ends of what upstreams say of themselves in responses.")
+                               .Register(registry))
         , gauges(prometheus::BuildGauge()
                      .Name("buckthornhill_gateway_state")
                      .Help("Live instances, requests in progress, requests waiting, upstreams known.")
@@ -38,6 +42,7 @@
     prometheus::Family<prometheus::Counter>& responses;
     prometheus::Family<prometheus::Histogram>& latency;
     prometheus::Counter& lookups;
+    prometheus::Family<prometheus::Counter>& upstream_signals;
     prometheus::Family<prometheus::Gauge>& gauges;
 };
 
@@ -76,6 +81,11 @@
     this->registered->lookups.Increment();
 }
 
+void gateway_metrics::on_upstream_signal(const std::string& signal)
+{
+    this->registered->upstream_signals.Add({{"signal", signal}}).Increment();
+}
+
 void gateway_metrics::set_gauge(const std::string& name, double value)
 {
     this->registered->gauges.Add({{"kind", name}}).Set(value);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -22,6 +22,8 @@
 
     void on_response(const std::string& route, const std::string& outcome, duration elapsed);
     void on_lookup();
+    //! An upstream began or ceased to say something of itself in its responses; `signal` has few values.
+    void on_upstream_signal(const std::string& signal);
     void set_gauge(const std::string& name, double value);
 
 private:
--- a/src/placement/placement_types.h
+++ b/src/placement/placement_types.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -77,6 +78,13 @@
     std::int64_t slots = 0; //!< 0 when the upstream does not report them
 };
 
+//! What an upstream says of itself in a response to one request, for all requests after it.
+struct upstream_signals
+{
+    //! The rate that it takes from all instances together, for as long as its responses say so.
+    std::optional<double> requests_per_second;
+};
+
 enum class upstream_attempt_result {
     answered,
     rejected,        //!< the upstream was at capacity and did not run the request
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -1,4 +1,6 @@
 #include <functional>
+#include <list>
+#include <numeric>
 
 #include <catch2/catch.hpp>
 
@@ -221,7 +223,7 @@
     static const placement_configuration configuration;
     upstream_load load(configuration, 1);
     const time_point now{std::chrono::seconds(100)};
-    load.on_sent();
+    load.on_sent(time_point{}, 1);
     load.on_report(now, {4, 2, 4});
     CHECK(load.estimated_requests(now) == Approx(6));
     CHECK(load.estimated_requests(now + milliseconds(700)) == Approx(1 + 2.5));
@@ -439,3 +441,55 @@
     const auto last = picker.pick(start, roster, request_for(7));
     CHECK(last.has_room);
 }
+
+//! Guards against an upstream that names a limit and gets many times as much.
+TEST_CASE("[GIVEN] an upstream that names a limit [WHEN] many instances send to it [THEN] together they keep "
+          "to the "
+          "limit, and use it",
+          "[placement][pattern: an upstream in need names a limit]")
+{
+    constexpr double allowed_factor = 1.5;
+    constexpr double allowed_slack = 5;
+    constexpr std::size_t window_s = 4;
+    for (const auto& [count, limit] :
+         std::vector<std::pair<std::size_t, double>>{{9, 3.8}, {3, 12}, {60, 4}}) {
+        fleet::upstream_roster roster{fleet::roster_configuration{}};
+        roster.upsert(time_point{}, make_entry(0, 50));
+        std::vector<known_instance> known;
+        for (std::size_t i = 0; i < count; ++i) {
+            known.push_back({instance_id("i" + std::to_string(i)), here.region});
+        }
+        std::list<upstream_picker> pickers;
+        const upstream_id upstream("u0");
+        for (const auto& instance : known) {
+            pickers.emplace_back(instance.id, here, placement_configuration{});
+            pickers.back().set_instances(time_point{}, known);
+            send(pickers.back(), roster, time_point{}, request_for(1));
+            pickers.back().on_signals(time_point{}, upstream, {limit});
+        }
+        std::vector<std::size_t> sent_in_second(60, 0);
+        for (int ms = 0; ms < 60000; ms += 50) {
+            const time_point now{milliseconds(ms)};
+            for (auto& picker : pickers) {
+                const auto choice = picker.pick(now, roster, request_for(1));
+                if (choice.has_room) {
+                    picker.on_sent(now, roster, request_for(1), choice.upstream);
+                    picker.on_finished(now, request_for(1), choice, upstream_attempt_result::answered,
+                                       milliseconds(1));
+                    picker.on_signals(now, upstream, {limit});
+                    ++sent_in_second[static_cast<std::size_t>(ms / 1000)];
+                }
+            }
+        }
+        std::size_t total = 0;
+        for (std::size_t second = 0; second + window_s <= sent_in_second.size(); ++second) {
+            const auto first = sent_in_second.begin() + static_cast<std::ptrdiff_t>(second);
+            const auto sent = std::accumulate(first, first + window_s, std::size_t{0});
+            CHECK(static_cast<double>(sent) <= limit * window_s * allowed_factor + allowed_slack);
+            total += sent_in_second[second];
+        }
+        CHECK(static_cast<double>(total) > 0.7 * limit * 57);
+        pickers.front().on_signals(time_point{std::chrono::seconds(60)}, upstream, {});
+        CHECK(pickers.front().pick(time_point{std::chrono::seconds(60)}, roster, request_for(1)).has_room);
+    }
+}
--- a/src/placement/upstream_load.cpp
+++ b/src/placement/upstream_load.cpp
@@ -10,6 +10,11 @@
 constexpr double max_slowness = 10.0;
 //! Smaller differences come from queues and cold objects; objects would move back and forth and grow cold.
 constexpr double min_relevant_slowness = 2.0;
+//! Of a rate that an upstream names; the rest is a margin for instances with different views and for delays
+//! that bring requests closer together.
+constexpr double usable_rate_share = 0.9;
+//! A lower stated rate counts as this one, so that its end is noticed.
+constexpr double min_stated_rate = 0.2;
 
 double fraction(duration part, duration whole)
 {
@@ -17,9 +22,34 @@
 }
 } // namespace
 
-void upstream_load::on_sent()
+void upstream_load::on_sent(time_point now, std::size_t instances)
 {
     ++this->in_flight;
+    if (this->stated_rate) {
+        this->next_send_at = now + this->send_interval(instances);
+    }
+}
+
+duration upstream_load::send_interval(std::size_t instances) const
+{
+    const double own_rate = std::max(*this->stated_rate, min_stated_rate) * usable_rate_share /
+                            static_cast<double>(std::max<std::size_t>(1, instances));
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / own_rate));
+}
+
+bool upstream_load::on_stated_rate(time_point now, std::optional<double> requests_per_second,
+                                   std::size_t instances, double phase)
+{
+    const bool was_limited = this->stated_rate.has_value();
+    this->stated_rate = requests_per_second;
+    if (!this->stated_rate) {
+        this->next_send_at = {};
+        return was_limited;
+    }
+    const auto interval = this->send_interval(instances);
+    this->next_send_at = was_limited ? std::min(this->next_send_at, now + interval)
+                                     : now + std::chrono::duration_cast<duration>(interval * phase);
+    return !was_limited;
 }
 
 double upstream_load::health_weight(time_point now) const
--- a/src/placement/upstream_load.h
+++ b/src/placement/upstream_load.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <unordered_map>
 
 #include "placement/placement_types.h"
@@ -17,10 +19,15 @@
     {
     }
 
-    void on_sent();
+    //! `instances` share a limit that the upstream named.
+    void on_sent(time_point now, std::size_t instances);
     //! `took` is the time until the response, `usual` the one expected of an upstream that is not slow.
     void on_finished(time_point now, upstream_attempt_result result, duration took, duration usual);
     void on_report(time_point now, const load_report& report);
+    //! The upstream named this limit in its latest response, or none. `phase`, from 0 to 1, distinguishes the
+    //! instances, so that their next requests do not coincide. Returns whether a limit began or ended.
+    bool on_stated_rate(time_point now, std::optional<double> requests_per_second, std::size_t instances,
+                        double phase);
     void record_object(object_hash object);
     bool handled_recently(object_hash object) const { return this->recent_object_positions.contains(object); }
 
@@ -30,6 +37,10 @@
     bool is_ejected(time_point now) const;
     //! The upstream rejected a request, and has neither answered one nor reported a free slot since.
     bool is_at_capacity(time_point now) const { return now < this->at_capacity_until; }
+    bool is_rate_limited() const { return this->stated_rate.has_value(); }
+    //! How long this instance has to wait before it may send the next request without exceeding its part of
+    //! the limit that the upstream named.
+    duration time_until_send(time_point now) const { return std::max(duration{}, this->next_send_at - now); }
     //! Moving average of measured time divided by expected time; 1 unless the upstream is clearly slow.
     double slowness(time_point now) const;
     //! Moving average of the share of requests that did not succeed.
@@ -41,6 +52,8 @@
     double health_weight(time_point now) const;
     double average_slowness(time_point now) const;
     void record_failure(time_point now, bool eject_at_once);
+    //! Time between two requests of this instance that uses its equal part of the stated rate.
+    duration send_interval(std::size_t instances) const;
 
     const placement_configuration* configuration;
     std::uint64_t started_at_ms;
@@ -54,6 +67,8 @@
     int ejections_in_a_row = 0;
     time_point ejected_until{};
     time_point at_capacity_until{};
+    std::optional<double> stated_rate;     //!< requests per second, from all instances together
+    time_point next_send_at{};             //!< earliest, by the stated rate
     std::list<object_hash> recent_objects; //!< most recent first
     std::unordered_map<object_hash, std::list<object_hash>::iterator> recent_object_positions;
 };
--- a/src/placement/upstream_picker.cpp
+++ b/src/placement/upstream_picker.cpp
@@ -1,6 +1,9 @@
 #include "placement/upstream_picker.h"
 
 #include <algorithm>
+#include <limits>
+
+#include "global/hash.h"
 
 namespace buckthornhill::placement {
 namespace {
@@ -17,7 +20,8 @@
 } // namespace
 
 upstream_picker::upstream_picker(instance_id self_id, place where, const placement_configuration& settings)
-    : self(std::move(where))
+    : self_hash(hash_text(self_id.str()))
+    , self(std::move(where))
     , configuration(settings)
     , plan(this->self.region)
     , cold_limiter(std::move(self_id))
@@ -106,12 +110,14 @@
                               scaled(choice.expected_work, failure_cost_factor * load.failure_share(now));
     choice.usual_latency =
         usual_work + scaled(route_times.warm(), queue_ahead) + this->round_trip(entry.where);
+    const auto time_until_send = load.time_until_send(now);
+    choice.expected_latency += time_until_send;
     choice.cost = choice.expected_latency;
     if (!choice.is_warm) {
         choice.cost += scaled(route_times.cold() - route_times.warm(), cold_delay_factor);
     }
-    choice.has_room =
-        !load.is_at_capacity(now) && estimated_load < slots * this->load_limit(request.priority);
+    choice.has_room = time_until_send == duration{} && !load.is_at_capacity(now) &&
+                      estimated_load < slots * this->load_limit(request.priority);
     return choice;
 }
 
@@ -159,7 +165,7 @@
     if (found == this->loads.end()) {
         return;
     }
-    found->second.on_sent();
+    found->second.on_sent(now, this->lately_known_instances());
     if (request.cold_requests_per_second > 0 && roster.is_cold(now, upstream)) {
         this->cold_limiter.on_sent(now, upstream, request.cold_requests_per_second);
     }
@@ -195,6 +201,19 @@
     }
 }
 
+bool upstream_picker::on_signals(time_point now, const upstream_id& upstream, const upstream_signals& signals)
+{
+    const auto found = this->loads.find(upstream);
+    if (found == this->loads.end()) {
+        return false;
+    }
+    const auto weight = rendezvous_weight(hash_text(upstream.str()), this->self_hash);
+    const double phase =
+        static_cast<double>(weight) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return found->second.on_stated_rate(now, signals.requests_per_second, this->lately_known_instances(),
+                                        phase);
+}
+
 void upstream_picker::on_tick(time_point now, const fleet::upstream_roster& roster)
 {
     if (now < this->next_cleanup_at) {
--- a/src/placement/upstream_picker.h
+++ b/src/placement/upstream_picker.h
@@ -26,6 +26,8 @@
     void on_finished(time_point now, const placement_request& request, const placement_choice& choice,
                      upstream_attempt_result result, duration took);
     void on_report(time_point now, const upstream_id& upstream, const load_report& report);
+    //! Returns whether a limit of the upstream began or ended.
+    bool on_signals(time_point now, const upstream_id& upstream, const upstream_signals& signals);
     void set_instances(time_point now, const std::vector<known_instance>& known)
     {
         this->cold_limiter.set_instances(now, known);
@@ -51,6 +53,7 @@
     duration round_trip(const place& where) const;
     double load_limit(int priority) const;
 
+    std::uint64_t self_hash;
     place self;
     placement_configuration configuration;
     region_plan plan;
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -187,6 +187,9 @@
     if (outcome.load) {
         this->picker.on_report(now, flow.choice.upstream, *outcome.load);
     }
+    if (outcome.signals) {
+        this->apply_signals(now, flow.choice.upstream, *outcome.signals);
+    }
     if (outcome.is_misdirected) {
         this->roster.on_misdirected(flow.choice.upstream);
     }
@@ -209,6 +212,14 @@
     this->dispatch_waiting(now);
 }
 
+void proxy_core::apply_signals(time_point now, const upstream_id& upstream,
+                               const placement::upstream_signals& signals)
+{
+    if (this->picker.on_signals(now, upstream, signals)) {
+        this->outbox.push_back(limit_changed_action{upstream, signals.requests_per_second});
+    }
+}
+
 bool proxy_core::try_spend_retry(time_point now, const proxy_flow& flow)
 {
     if (flow.upstreams_reached >= flow.max_upstreams || now >= flow.deadline) {
--- a/src/proxy/proxy_core.h
+++ b/src/proxy/proxy_core.h
@@ -55,6 +55,8 @@
     void dispatch_waiting(time_point now);
     void on_not_run(time_point now, proxy_flow& flow, const attempt_outcome& outcome);
     void on_may_have_run(time_point now, proxy_flow& flow, const attempt_outcome& outcome);
+    void apply_signals(time_point now, const upstream_id& upstream,
+                       const placement::upstream_signals& signals);
     //! Returns whether the request may be sent to another upstream, and then counts a retry.
     bool try_spend_retry(time_point now, const proxy_flow& flow);
     void refuse(time_point now, const proxy_flow& flow, refusal_reason reason);
--- a/src/proxy/proxy_types.h
+++ b/src/proxy/proxy_types.h
@@ -93,8 +93,15 @@
     bool is_timeout = false;
 };
 
+//! An upstream began or ceased to name a limit in its responses; for the log.
+struct limit_changed_action
+{
+    upstream_id upstream;
+    std::optional<double> requests_per_second;
+};
+
 using action = std::variant<start_attempt_action, cancel_attempt_action, deliver_action, refuse_action,
-                            no_route_action, fail_action>;
+                            no_route_action, fail_action, limit_changed_action>;
 
 enum class transport_status {
     complete,
@@ -110,5 +117,6 @@
     bool is_misdirected = false;                //!< the address belongs to another upstream now
     bool is_server_failure = false;             //!< a 5xx response
     std::optional<placement::load_report> load; //!< empty when the response has no report
+    std::optional<placement::upstream_signals> signals; //!< empty without a whole response of the upstream
 };
 } // namespace buckthornhill::proxy
--- a/tools/soak/soak_faults.cpp
+++ b/tools/soak/soak_faults.cpp
@@ -194,24 +194,35 @@
 {
     auto& proxied =
         *std::next(this->upstreams.begin(), static_cast<std::ptrdiff_t>(this->draw(this->upstreams.size())));
-    if (proxied.is_leaving || proxied.is_limited) {
+    const double limit = static_cast<double>(20 + this->draw(200)) / 10;
+    const bool is_service_limited = std::ranges::any_of(this->upstreams, [&](const proxied_upstream& other) {
+        return other.limited_since && other.upstream->service() == proxied.upstream->service();
+    });
+    if (proxied.is_leaving || is_service_limited || this->is_injection_over) {
         return;
     }
     ++this->event_counts["limit"];
-    proxied.is_limited = true;
-    const auto id = proxied.upstream->id();
-    const double limit = static_cast<double>(20 + this->draw(200)) / 10;
-    const auto start = std::chrono::steady_clock::now();
+    proxied.limited_since = std::chrono::steady_clock::now();
+    proxied.limit = limit;
     proxied.upstream->set_limit(limit);
-    this->arrivals.on_limit(start, start + limit_duration, id, limit);
-    this->run_after(limit_duration, [this, id] {
+    this->run_after(limit_duration, [this, id = proxied.upstream->id()] {
         if (auto* limited = this->find_upstream(id)) {
-            limited->upstream->set_limit(std::nullopt);
-            limited->is_limited = false;
+            this->end_limit(*limited);
         }
     });
 }
 
+void soak_run::end_limit(proxied_upstream& proxied)
+{
+    if (!proxied.limited_since) {
+        return;
+    }
+    proxied.upstream->set_limit(std::nullopt);
+    this->arrivals.on_limit(*proxied.limited_since, std::chrono::steady_clock::now(), proxied.upstream->id(),
+                            proxied.limit);
+    proxied.limited_since.reset();
+}
+
 void soak_run::drain_random_upstream()
 {
     auto& proxied =
@@ -264,8 +275,9 @@
     for (const auto& proxy : this->store_proxies) {
         proxy->set_mode(proxy_mode::pass);
     }
-    for (const auto& proxied : this->upstreams) {
+    for (auto& proxied : this->upstreams) {
         proxied.proxy->set_mode(proxy_mode::pass);
+        this->end_limit(proxied);
     }
 }
 } // namespace buckthornhill::soak
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -159,6 +159,9 @@
 
 void soak_run::remove_upstream(const std::string& id)
 {
+    if (auto* proxied = this->find_upstream(id)) {
+        this->end_limit(*proxied);
+    }
     remove_upstream_entry(this->store, id);
     this->upstreams.remove_if(
         [&id](const proxied_upstream& proxied) { return proxied.upstream->id() == id; });
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -50,7 +51,8 @@
         std::unique_ptr<platform::standins::platform_upstream> upstream;
         std::unique_ptr<loopback_proxy> proxy;
         bool is_leaving = false;
-        bool is_limited = false; //!< its responses name a limit
+        std::optional<time_point> limited_since; //!< its responses name `limit`
+        double limit = 0;
     };
     struct soak_caller
     {
@@ -88,6 +90,7 @@
     void excuse_gateway(time_point from, time_point until, const gateway_process& gateway);
     //! An upstream names a limit in its responses for some seconds.
     void name_limit();
+    void end_limit(proxied_upstream& proxied);
     void record_store_fault(std::chrono::milliseconds time);
     void record_gateway_fault(std::chrono::milliseconds time, const gateway_process& gateway);
     std::uint64_t draw(std::uint64_t bound);
