Test that an answer which ends in its head is none

Cause: another operator's clients got a 200 with an empty or short body when a backend stopped in the middle of its answer's head. Change: a test cuts the head at each byte, for a caller that accepts bodies without a length, as the gateway does for upstreams.

--- a/src/http/tests/http_client_tests.cpp
+++ b/src/http/tests/http_client_tests.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include "http/blocking_call.h"
+#include "http/http_client.h"
 #include "http/http_errors.h"
 
 using namespace buckthornhill;
@@ -73,6 +74,23 @@
 {
     return call_and_wait(server.address(), {"GET", "/a", {}, ""}, timeout);
 }
+
+//! A response without a length is accepted, as from upstreams.
+call_result call_unframed(const raw_server& server)
+{
+    boost::asio::io_context context;
+    http_client client(context, client_limits{});
+    call_options options;
+    options.deadline = std::chrono::steady_clock::now() + milliseconds(2000);
+    options.accepts_unframed_body = true;
+    call_result received;
+    client.send(server.address(), {"GET", "/a", {}, ""}, std::move(options), [&](call_result result) {
+        received = std::move(result);
+        context.stop();
+    });
+    context.run();
+    return received;
+}
 } // namespace
 
 SCENARIO("an answer is whole or it is none", "[http]")
@@ -113,6 +131,20 @@
     }
 }
 
+//! Guards against an answer whose head is cut and that passes for a success with an empty or short body.
+SCENARIO("an answer that ends in its head is none", "[http][pattern: a response ends in its head]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nResponse-Signature: x\r\nContent-Length: 3\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        // [GIVEN] A caller that accepts bodies without a length [WHEN] the connection closes in the head
+        const raw_server server(head.substr(0, length), true);
+        const auto result = call_unframed(server);
+        // [THEN] there is no answer
+        INFO(length);
+        REQUIRE(result.status == call_status::broken);
+    }
+}
+
 SCENARIO("a refused connect proves that nothing was sent", "[http]")
 {
     endpoint closed_endpoint;
