Obey upstreams that say they leave, or turn work away for a time

Leaving marks the run in the roster as departed, so older news of it change nothing and another run is a new upstream. After a 503 with a time the upstream has no room until that time, at most ten minutes, is over; the instances return spread over a quarter of it, each with one request first. A log line and a counter when a signal begins. In the soak upstreams leave by their answers alone half of the time and turn work away for 0.8 to 4 s; arrival_checker holds both rules for each gateway. The two new tests of proxy_tests hold the same without processes.

--- a/src/fleet/upstream_roster.cpp
+++ b/src/fleet/upstream_roster.cpp
@@ -80,11 +80,28 @@
         known.cold_until = std::max(known.cold_until, now + entry.cold_left);
     }
     if (entry.is_leaving) {
-        if (this->departed_runs.size() >= max_departed_runs) {
-            this->departed_runs.erase(this->departed_runs.begin());
-        }
-        this->departed_runs.emplace(entry.id, entry.started_at_ms);
+        this->remember_departed(entry);
+    }
+}
+
+void upstream_roster::remember_departed(const upstream_entry& entry)
+{
+    if (this->departed_runs.size() >= max_departed_runs) {
+        this->departed_runs.erase(this->departed_runs.begin());
+    }
+    this->departed_runs.emplace(entry.id, entry.started_at_ms);
+}
+
+bool upstream_roster::on_leaving(const upstream_id& id)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end() || !this->is_usable(found->second)) {
+        return false;
     }
+    const auto previous_service = this->usable_service(id);
+    this->remember_departed(found->second.entry);
+    this->update_usable(id, previous_service);
+    return true;
 }
 
 void upstream_roster::drop_entry(time_point now, const upstream_id& id, bool after_outage)
--- a/src/fleet/upstream_roster.h
+++ b/src/fleet/upstream_roster.h
@@ -42,6 +42,9 @@
     //! The address of `id` answered as another upstream: `id` gets no requests until it registers a new run
     //! or address.
     void on_misdirected(const upstream_id& id);
+    //! The current run of `id` said itself that it leaves: it gets no requests, whatever later news of this
+    //! run say. Returns whether that is new.
+    bool on_leaving(const upstream_id& id);
     void on_tick(time_point now);
 
     //! Upstreams of `service` that may receive requests now, ordered by id.
@@ -60,6 +63,7 @@
     //! Updates `usable_by_service` for `id`, which was usable for `previous_service` before the change.
     void update_usable(const upstream_id& id, const service_id& previous_service);
     void apply_entry(time_point now, const upstream_entry& entry);
+    void remember_departed(const upstream_entry& entry);
     void drop_entry(time_point now, const upstream_id& id, bool after_outage);
     void rebuild_usable();
 
--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -400,14 +400,18 @@
                   action.is_timeout ? "timed_out" : "failed", "the request may have run");
 }
 
-void gateway_engine::run(const proxy::limit_changed_action& action)
+void gateway_engine::run(const proxy::signal_changed_action& action)
 {
     boost::json::object facts{{"upstream", action.upstream.str()}};
-    if (action.requests_per_second) {
-        facts["requests_per_second"] = *action.requests_per_second;
+    if (action.signals.requests_per_second) {
+        facts["requests_per_second"] = *action.signals.requests_per_second;
     }
-    log::event("upstreams", action.requests_per_second ? "limit_named" : "limit_over", std::move(facts));
-    this->metrics.on_upstream_signal(action.requests_per_second ? "limit_named" : "limit_over");
+    if (action.signals.pause) {
+        facts["pause_ms"] = action.signals.pause->count();
+    }
+    const std::string change(proxy::to_string(action.change));
+    log::event("upstreams", change, std::move(facts));
+    this->metrics.on_upstream_signal(change);
 }
 
 void gateway_engine::respond(flow_id id, http::http_response response, const std::string& outcome,
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -89,7 +89,7 @@
     void run(const proxy::refuse_action& action);
     void run(const proxy::no_route_action& action);
     void run(const proxy::fail_action& action);
-    void run(const proxy::limit_changed_action& action);
+    void run(const proxy::signal_changed_action& action);
     request_completion completion_of(const gateway_flow& flow, const std::string& outcome,
                                      const std::string& reason, unsigned status) const;
     void respond(flow_id flow, http::http_response response, const std::string& outcome,
--- a/src/placement/placement_types.h
+++ b/src/placement/placement_types.h
@@ -36,6 +36,8 @@
     //! earlier: about the time in which one of a few slots becomes free.
     std::chrono::milliseconds at_capacity_duration{200};
     std::size_t max_remembered_objects = 64; //!< per upstream, as handled there lately
+    //! Longest time for which an upstream that turns requests away gets none.
+    std::chrono::milliseconds max_pause{600000};
 };
 
 //! An entry instance that is registered or was heard from, live or not.
@@ -83,6 +85,17 @@
 {
     //! The rate that it takes from all instances together, for as long as its responses say so.
     std::optional<double> requests_per_second;
+    //! It ends soon and must get no further requests.
+    bool is_leaving = false;
+    //! It turned the request away and takes none from this instance for so long.
+    std::optional<std::chrono::milliseconds> pause;
+};
+
+//! What the signals of a response changed.
+struct signal_effects
+{
+    bool has_limit_changed = false; //!< a limit began or ended
+    bool has_pause_begun = false;
 };
 
 enum class upstream_attempt_result {
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -461,11 +461,12 @@
         }
         std::list<upstream_picker> pickers;
         const upstream_id upstream("u0");
+        const upstream_signals limited{limit, false, {}};
         for (const auto& instance : known) {
             pickers.emplace_back(instance.id, here, placement_configuration{});
             pickers.back().set_instances(time_point{}, known);
             send(pickers.back(), roster, time_point{}, request_for(1));
-            pickers.back().on_signals(time_point{}, upstream, {limit});
+            pickers.back().on_signals(time_point{}, upstream, limited);
         }
         std::vector<std::size_t> sent_in_second(60, 0);
         for (int ms = 0; ms < 60000; ms += 50) {
@@ -476,7 +477,7 @@
                     picker.on_sent(now, roster, request_for(1), choice.upstream);
                     picker.on_finished(now, request_for(1), choice, upstream_attempt_result::answered,
                                        milliseconds(1));
-                    picker.on_signals(now, upstream, {limit});
+                    picker.on_signals(now, upstream, limited);
                     ++sent_in_second[static_cast<std::size_t>(ms / 1000)];
                 }
             }
@@ -489,7 +490,7 @@
             total += sent_in_second[second];
         }
         CHECK(static_cast<double>(total) > 0.7 * limit * 57);
-        pickers.front().on_signals(time_point{std::chrono::seconds(60)}, upstream, {});
+        pickers.front().on_signals(time_point{std::chrono::seconds(60)}, upstream, upstream_signals{});
         CHECK(pickers.front().pick(time_point{std::chrono::seconds(60)}, roster, request_for(1)).has_room);
     }
 }
--- a/src/placement/upstream_load.cpp
+++ b/src/placement/upstream_load.cpp
@@ -15,6 +15,8 @@
 constexpr double usable_rate_share = 0.9;
 //! A lower stated rate counts as this one, so that its end is noticed.
 constexpr double min_stated_rate = 0.2;
+//! Part of a pause over which the instances return one after the other.
+constexpr double return_spread = 0.25;
 
 double fraction(duration part, duration whole)
 {
@@ -105,6 +107,7 @@
         this->failures_in_a_row = 0;
         this->ejections_in_a_row = 0;
         this->at_capacity_until = {};
+        this->has_paused = false;
         return;
     }
     if (result == upstream_attempt_result::rejected) {
@@ -117,6 +120,16 @@
     }
 }
 
+bool upstream_load::on_pause(time_point now, duration pause, double phase)
+{
+    const duration bounded = std::min<duration>(pause, this->configuration->max_pause);
+    const auto spread = std::chrono::duration_cast<duration>(bounded * (phase * return_spread));
+    const bool begins = now >= this->paused_until;
+    this->paused_until = std::max(this->paused_until, now + bounded + spread);
+    this->has_paused = true;
+    return begins;
+}
+
 void upstream_load::on_report(time_point now, const load_report& report)
 {
     const auto requests = report.running + report.waiting;
--- a/src/placement/upstream_load.h
+++ b/src/placement/upstream_load.h
@@ -37,10 +37,17 @@
     bool is_ejected(time_point now) const;
     //! The upstream rejected a request, and has neither answered one nor reported a free slot since.
     bool is_at_capacity(time_point now) const { return now < this->at_capacity_until; }
-    bool is_rate_limited() const { return this->stated_rate.has_value(); }
-    //! How long this instance has to wait before it may send the next request without exceeding its part of
-    //! the limit that the upstream named.
-    duration time_until_send(time_point now) const { return std::max(duration{}, this->next_send_at - now); }
+    //! The upstream takes nothing from this instance for `pause`; `phase` as above spreads the return of the
+    //! instances. Returns whether the pause begins.
+    bool on_pause(time_point now, duration pause, double phase);
+    //! How long this instance has to wait before it may send the next request: for the end of a pause, or for
+    //! its part of the limit that the upstream named.
+    duration time_until_send(time_point now) const
+    {
+        return std::max(duration{}, std::max(this->next_send_at, this->paused_until) - now);
+    }
+    //! After a pause, requests are sent one at a time until one is answered.
+    bool is_returning() const { return this->has_paused && this->in_flight > 0; }
     //! Moving average of measured time divided by expected time; 1 unless the upstream is clearly slow.
     double slowness(time_point now) const;
     //! Moving average of the share of requests that did not succeed.
@@ -67,8 +74,10 @@
     int ejections_in_a_row = 0;
     time_point ejected_until{};
     time_point at_capacity_until{};
-    std::optional<double> stated_rate;     //!< requests per second, from all instances together
-    time_point next_send_at{};             //!< earliest, by the stated rate
+    std::optional<double> stated_rate; //!< requests per second, from all instances together
+    time_point next_send_at{};         //!< earliest, by the stated rate
+    time_point paused_until{};
+    bool has_paused = false;               //!< and has not answered a request since
     std::list<object_hash> recent_objects; //!< most recent first
     std::unordered_map<object_hash, std::list<object_hash>::iterator> recent_object_positions;
 };
--- a/src/placement/upstream_picker.cpp
+++ b/src/placement/upstream_picker.cpp
@@ -116,7 +116,7 @@
     if (!choice.is_warm) {
         choice.cost += scaled(route_times.cold() - route_times.warm(), cold_delay_factor);
     }
-    choice.has_room = time_until_send == duration{} && !load.is_at_capacity(now) &&
+    choice.has_room = time_until_send == duration{} && !load.is_returning() && !load.is_at_capacity(now) &&
                       estimated_load < slots * this->load_limit(request.priority);
     return choice;
 }
@@ -201,17 +201,22 @@
     }
 }
 
-bool upstream_picker::on_signals(time_point now, const upstream_id& upstream, const upstream_signals& signals)
+signal_effects upstream_picker::on_signals(time_point now, const upstream_id& upstream,
+                                           const upstream_signals& signals)
 {
     const auto found = this->loads.find(upstream);
     if (found == this->loads.end()) {
-        return false;
+        return {};
     }
+    auto& load = found->second;
     const auto weight = rendezvous_weight(hash_text(upstream.str()), this->self_hash);
     const double phase =
         static_cast<double>(weight) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    return found->second.on_stated_rate(now, signals.requests_per_second, this->lately_known_instances(),
-                                        phase);
+    signal_effects effects;
+    effects.has_pause_begun = signals.pause && load.on_pause(now, *signals.pause, phase);
+    effects.has_limit_changed =
+        load.on_stated_rate(now, signals.requests_per_second, this->lately_known_instances(), phase);
+    return effects;
 }
 
 void upstream_picker::on_tick(time_point now, const fleet::upstream_roster& roster)
--- a/src/placement/upstream_picker.h
+++ b/src/placement/upstream_picker.h
@@ -26,8 +26,7 @@
     void on_finished(time_point now, const placement_request& request, const placement_choice& choice,
                      upstream_attempt_result result, duration took);
     void on_report(time_point now, const upstream_id& upstream, const load_report& report);
-    //! Returns whether a limit of the upstream began or ended.
-    bool on_signals(time_point now, const upstream_id& upstream, const upstream_signals& signals);
+    signal_effects on_signals(time_point now, const upstream_id& upstream, const upstream_signals& signals);
     void set_instances(time_point now, const std::vector<known_instance>& known)
     {
         this->cold_limiter.set_instances(now, known);
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -46,6 +46,21 @@
     return "unknown";
 }
 
+std::string_view to_string(signal_change change)
+{
+    switch (change) {
+    case signal_change::leaving:
+        return "leaving";
+    case signal_change::limit_named:
+        return "limit_named";
+    case signal_change::limit_over:
+        return "limit_over";
+    case signal_change::paused:
+        return "paused";
+    }
+    return "unknown";
+}
+
 proxy_core::proxy_core(instance_id self, place where, const proxy_configuration& settings,
                        random_hook random_source)
     : configuration(settings)
@@ -215,8 +230,17 @@
 void proxy_core::apply_signals(time_point now, const upstream_id& upstream,
                                const placement::upstream_signals& signals)
 {
-    if (this->picker.on_signals(now, upstream, signals)) {
-        this->outbox.push_back(limit_changed_action{upstream, signals.requests_per_second});
+    const auto effects = this->picker.on_signals(now, upstream, signals);
+    if (effects.has_limit_changed) {
+        const auto change =
+            signals.requests_per_second ? signal_change::limit_named : signal_change::limit_over;
+        this->outbox.push_back(signal_changed_action{upstream, change, signals});
+    }
+    if (effects.has_pause_begun) {
+        this->outbox.push_back(signal_changed_action{upstream, signal_change::paused, signals});
+    }
+    if (signals.is_leaving && this->roster.on_leaving(upstream)) {
+        this->outbox.push_back(signal_changed_action{upstream, signal_change::leaving, signals});
     }
 }
 
--- a/src/proxy/proxy_types.h
+++ b/src/proxy/proxy_types.h
@@ -93,15 +93,19 @@
     bool is_timeout = false;
 };
 
-//! An upstream began or ceased to name a limit in its responses; for the log.
-struct limit_changed_action
+enum class signal_change { leaving, limit_named, limit_over, paused };
+std::string_view to_string(signal_change change);
+
+//! What an upstream says of itself in its responses has changed; for the log.
+struct signal_changed_action
 {
     upstream_id upstream;
-    std::optional<double> requests_per_second;
+    signal_change change = signal_change::leaving;
+    placement::upstream_signals signals;
 };
 
 using action = std::variant<start_attempt_action, cancel_attempt_action, deliver_action, refuse_action,
-                            no_route_action, fail_action, limit_changed_action>;
+                            no_route_action, fail_action, signal_changed_action>;
 
 enum class transport_status {
     complete,
--- a/src/proxy/tests/proxy_core_tests.cpp
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -507,3 +507,59 @@
     }
     CHECK(sends - requests_sent <= allowed_retries(requests_sent));
 }
+
+//! Guards against requests to an upstream that says itself that it leaves, while the store is silent or lags.
+TEST_CASE(
+    "[GIVEN] an upstream that says it leaves [WHEN] older news of this run arrive [THEN] it gets no further "
+    "requests until another run registers",
+    "[proxy][pattern: upstreams leave while the store is silent]")
+{
+    proxy_fixture fixture(1);
+    fixture.request();
+    auto leaving = success();
+    leaving.signals = placement::upstream_signals{{}, true, {}};
+    fixture.finish_attempt(fixture.single_action<start_attempt_action>(), leaving);
+    const auto actions = fixture.core.take_actions();
+    REQUIRE(actions.size() == 2);
+    CHECK(std::get<signal_changed_action>(actions[0]).change == signal_change::leaving);
+    CHECK(std::holds_alternative<deliver_action>(actions[1]));
+    fixture.core.upstreams().upsert(fixture.now, proxy_fixture::entry(0));
+    fixture.core.upstreams().replace_all(fixture.now, {proxy_fixture::entry(0)}, false);
+    fixture.request();
+    CHECK(fixture.single_action<refuse_action>().reason == refusal_reason::no_upstream);
+
+    auto other_run = proxy_fixture::entry(0);
+    other_run.started_at_ms = 2;
+    fixture.core.upstreams().upsert(fixture.now, other_run);
+    fixture.request();
+    fixture.single_action<start_attempt_action>();
+}
+
+//! Guards against requests to an upstream that wants none for a time.
+TEST_CASE(
+    "[GIVEN] an upstream that turns requests away for a time [WHEN] requests go on [THEN] it gets none until "
+    "then, and a single one first",
+    "[proxy][pattern: upstreams turn requests away]")
+{
+    proxy_fixture fixture(1);
+    fixture.request();
+    auto turned_away = rejected();
+    turned_away.signals = placement::upstream_signals{{}, false, std::chrono::seconds(4)};
+    fixture.finish_attempt(fixture.single_action<start_attempt_action>(), turned_away);
+    fixture.core.take_actions();
+    const auto paused_at = fixture.now;
+    int sent = 0;
+    while (fixture.now - paused_at < std::chrono::seconds(6)) {
+        fixture.now += milliseconds(20);
+        fixture.core.on_tick(fixture.now);
+        fixture.request(1, milliseconds(900));
+        for (const auto& action : fixture.core.take_actions()) {
+            if (std::holds_alternative<start_attempt_action>(action)) {
+                ++sent;
+                CHECK(fixture.now - paused_at >= std::chrono::seconds(4));
+                CHECK(fixture.now - paused_at <= milliseconds(5200));
+            }
+        }
+    }
+    CHECK(sent == 1);
+}
--- a/tools/soak/arrival_checker.cpp
+++ b/tools/soak/arrival_checker.cpp
@@ -66,13 +66,73 @@
     if (first == notices->second.end() || *first + this->bounds.limit_notice > one.at) {
         return false;
     }
-    const auto faults = this->gateway_faults.find(one.gateway);
-    return faults == this->gateway_faults.end() ||
-           std::ranges::none_of(faults->second, [&](const rate_period& fault) {
-               return fault.until >= period.from && fault.from <= one.at;
+    return !this->is_excused(one.gateway, period.from, one.at);
+}
+
+bool arrival_checker::is_excused(const std::string& gateway, time_point from, time_point until) const
+{
+    const auto faults = this->gateway_faults.find(gateway);
+    return faults != this->gateway_faults.end() &&
+           std::ranges::any_of(faults->second, [&](const rate_period& fault) {
+               return fault.until >= from && fault.from <= until;
            });
 }
 
+void arrival_checker::on_leaving_named(time_point at, const std::string& request, const std::string& upstream)
+{
+    const auto known = this->sent.find(request);
+    if (known != this->sent.end()) {
+        this->leaving_notices[{known->second.second, upstream}].push_back(at);
+    }
+}
+
+void arrival_checker::on_turned_away(time_point at, time_point until, const std::string& request,
+                                     const std::string& upstream)
+{
+    const auto known = this->sent.find(request);
+    if (known != this->sent.end()) {
+        this->pauses[{known->second.second, upstream}].emplace_back(at, until);
+    }
+}
+
+void arrival_checker::check_leaving(std::vector<std::string>& found) const
+{
+    for (const auto& [names, notices] : this->leaving_notices) {
+        const auto& [gateway, upstream] = names;
+        const auto heard_at = std::ranges::min(notices);
+        const auto& all = this->by_upstream.at(upstream);
+        const auto late = std::ranges::count_if(all, [&, name = gateway](const arrival& one) {
+            return one.gateway == name && one.sent_at > heard_at + this->bounds.drain &&
+                   !this->is_excused(name, heard_at, one.at);
+        });
+        if (late > 0) {
+            found.push_back("leaving by its answers: " + upstream + " got " + std::to_string(late) +
+                            " late requests from " + gateway);
+        }
+    }
+}
+
+void arrival_checker::check_pauses(std::vector<std::string>& found) const
+{
+    for (const auto& [names, intervals] : this->pauses) {
+        const auto& [gateway, upstream] = names;
+        const auto& all = this->by_upstream.at(upstream);
+        std::ptrdiff_t most = 0;
+        for (const auto& [from, until] : intervals) {
+            const auto count =
+                std::ranges::count_if(all, [&, name = gateway, begin = from + this->bounds.pause_notice,
+                                            end = until](const arrival& one) {
+                    return one.gateway == name && one.at >= begin && one.at < end;
+                });
+            most = this->is_excused(gateway, from, until) ? most : std::max(most, count);
+        }
+        if (most > this->bounds.pause_slack) {
+            found.push_back("turned away: " + upstream + " got " + std::to_string(most) + " requests from " +
+                            gateway + " in a pause");
+        }
+    }
+}
+
 void arrival_checker::check_limit(const std::string& upstream, const rate_period& period,
                                   std::vector<std::string>& found) const
 {
@@ -173,6 +233,8 @@
     for (const auto& [upstream, period] : this->limit_periods) {
         this->check_limit(upstream, period, found);
     }
+    this->check_leaving(found);
+    this->check_pauses(found);
     return found;
 }
 } // namespace buckthornhill::soak
--- a/tools/soak/arrival_checker.h
+++ b/tools/soak/arrival_checker.h
@@ -22,6 +22,9 @@
     std::chrono::milliseconds limit_binds_after{3000}; //!< since it was named first
     //! After a response that names a limit has passed through a gateway, until its requests count.
     std::chrono::milliseconds limit_notice{500};
+    std::chrono::milliseconds drain{2000}; //!< after a response that says that the upstream leaves
+    std::chrono::milliseconds pause_notice{500};
+    std::ptrdiff_t pause_slack = 2; //!< requests of one gateway during a pause
 };
 
 //! Records which requests reached the upstreams, whether they ran or were rejected, and reports the limits
@@ -46,6 +49,11 @@
     void on_limit(time_point from, time_point until, const std::string& upstream, double requests_per_second);
     //! A response that names a limit reached the gateway that had sent the request.
     void on_limit_named(time_point at, const std::string& request, const std::string& upstream);
+    //! A response said that the upstream leaves, and reached the gateway that had sent the request.
+    void on_leaving_named(time_point at, const std::string& request, const std::string& upstream);
+    //! The upstream rejected the request and wants none of this gateway until `until`.
+    void on_turned_away(time_point at, time_point until, const std::string& request,
+                        const std::string& upstream);
     //! The gateway restarted or froze, or was cut off, from `from` to `until`, which excuses it from the
     //! limits.
     void on_gateway_fault(time_point from, time_point until, const std::string& gateway);
@@ -74,6 +82,9 @@
                     std::vector<std::string>& found) const;
     void check_limit(const std::string& upstream, const rate_period& period,
                      std::vector<std::string>& found) const;
+    void check_leaving(std::vector<std::string>& found) const;
+    void check_pauses(std::vector<std::string>& found) const;
+    bool is_excused(const std::string& gateway, time_point from, time_point until) const;
     //! The request counts for the limit: its gateway knew of it and is not excused.
     bool is_limited(const std::string& upstream, const rate_period& period, const arrival& one) const;
 
@@ -84,7 +95,10 @@
     std::map<std::string, std::vector<arrival>> by_upstream;
     std::multimap<std::string, rate_period> cold_periods;
     std::multimap<std::string, rate_period> limit_periods;
-    std::map<std::pair<std::string, std::string>, time_points> limit_notices; //!< by gateway and upstream
+    std::map<std::pair<std::string, std::string>, time_points> limit_notices;   //!< by gateway and upstream
+    std::map<std::pair<std::string, std::string>, time_points> leaving_notices; //!< by gateway and upstream
+    //! Begin and end, by gateway and upstream.
+    std::map<std::pair<std::string, std::string>, std::vector<std::pair<time_point, time_point>>> pauses;
     std::map<std::string, std::vector<rate_period>> gateway_faults;
 };
 } // namespace buckthornhill::soak
--- a/tools/soak/soak_faults.cpp
+++ b/tools/soak/soak_faults.cpp
@@ -143,6 +143,11 @@
         });
         return;
     }
+    if (this->draw(4) == 0) {
+        ++this->event_counts["turn-away"];
+        chosen->upstream->turn_away(this->draw_duration(800, 4000));
+        return;
+    }
     ++this->event_counts["upstream-path"];
     static constexpr std::array modes{proxy_mode::delay,           proxy_mode::blackhole,
                                       proxy_mode::block_responses, proxy_mode::lose_responses,
@@ -233,8 +238,12 @@
     proxied.is_leaving = true;
     const auto id = proxied.upstream->id();
     this->add_upstream(proxied.upstream->service());
-    put_upstream(this->store, *proxied.upstream, proxied.proxy->address(), true);
-    this->checker.on_leaving(std::chrono::steady_clock::now(), id);
+    proxied.upstream->announce_leaving();
+    const bool tells_store = this->draw(2) == 0;
+    if (tells_store) {
+        put_upstream(this->store, *proxied.upstream, proxied.proxy->address(), true);
+        this->checker.on_leaving(std::chrono::steady_clock::now(), id);
+    }
     this->run_after(drain_duration, [this, id] { this->remove_upstream(id); });
 }
 
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -215,6 +215,13 @@
         if (run.limit_named_at) {
             this->arrivals.on_limit_named(*run.limit_named_at, run.request, run.upstream);
         }
+        if (run.leaving_named_at) {
+            this->arrivals.on_leaving_named(*run.leaving_named_at, run.request, run.upstream);
+        }
+        if (run.turned_away_at) {
+            this->arrivals.on_turned_away(*run.turned_away_at, run.turned_away_until, run.request,
+                                          run.upstream);
+        }
     }
     auto violations = this->checker.violations();
     std::ranges::copy(this->arrivals.violations(), std::back_inserter(violations));
--- a/tools/soak/tests/arrival_checker_tests.cpp
+++ b/tools/soak/tests/arrival_checker_tests.cpp
@@ -79,3 +79,30 @@
         CHECK(checker.violations().empty());
     }
 }
+
+TEST_CASE("[GIVEN] an upstream that says it leaves, or wants nothing for a time [WHEN] a gateway that was "
+          "told goes on "
+          "[THEN] the checker reports it",
+          "[soak]")
+{
+    arrival_checker checker({});
+    arrive(checker, 0, 1);
+    SECTION("leaving")
+    {
+        checker.on_leaving_named(at(100), "u1-0", "u1");
+        arrive(checker, 2100, 1);
+        CHECK(checker.violations().empty());
+        arrive(checker, 2101, 1);
+    }
+    SECTION("a pause")
+    {
+        checker.on_turned_away(at(100), at(3000), "u1-0", "u1");
+        arrive(checker, 500, 102);
+        arrive(checker, 3000, 10);
+        CHECK(checker.violations().empty());
+        arrive(checker, 2999, 1);
+    }
+    CHECK(checker.violations().size() == 1);
+    checker.on_gateway_fault(at(200), at(300), "g1");
+    CHECK(checker.violations().empty());
+}
