Let long polls wait longer where the bound of the change allows

Change: a poll, its timeout, a pause and the next call have to fit into the recovery bound or the bound of the change, whichever is longer: 3.5 s for evacuations (bound 5 s) instead of 1.5 s.

--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -24,7 +24,9 @@
 constexpr std::chrono::milliseconds dependents_reaction_time{450};
 //! Of the age of a confirmation: delays of a slow machine or a slow store.
 constexpr std::chrono::milliseconds confirmation_delay{550};
-constexpr std::chrono::milliseconds min_poll_duration{100};
+constexpr std::chrono::milliseconds min_poll_duration{40};
+//! From a call until its response is in force, on a slow machine.
+constexpr std::chrono::milliseconds next_call_time{400};
 
 time_point now()
 {
@@ -56,12 +58,20 @@
                                               : bound->second - dependents_reaction_time;
 }
 
+std::chrono::milliseconds collection_watcher_configuration::poll_duration(collection which) const
+{
+    const auto bound = this->change_bounds.find(which);
+    const auto latest = bound == this->change_bounds.end() ? this->recovery_bound
+                                                           : std::max(this->recovery_bound, bound->second);
+    return std::max(min_poll_duration, latest - this->poll_timeout - 2 * this->min_backoff - next_call_time);
+}
+
 std::chrono::milliseconds
 collection_watcher_configuration::poll_duration_with_dependents(collection which) const
 {
     const auto within_age =
         this->max_confirmation_age(which) - this->max_pause_with_dependents - confirmation_delay;
-    return std::clamp(within_age, min_poll_duration, std::max(min_poll_duration, this->poll_duration()));
+    return std::clamp(within_age, min_poll_duration, this->poll_duration(which));
 }
 
 struct collection_watcher::watch
@@ -120,7 +130,7 @@
         return shortest_wait;
     }
     return this->has_dependent_instances ? this->configuration.poll_duration_with_dependents(which)
-                                         : this->configuration.poll_duration();
+                                         : this->configuration.poll_duration(which);
 }
 
 std::chrono::milliseconds collection_watcher::current_max_pause() const
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -67,8 +67,10 @@
     //! therefore listed at this interval and not watched.
     std::chrono::milliseconds instances_interval{30000};
 
-    //! Duration of a long poll, and so the longest time for which its connection is silent.
-    std::chrono::milliseconds poll_duration() const { return this->recovery_bound / 2; }
+    //! Duration of a long poll, and so the longest time for which its connection is silent. If the call is
+    //! lost, its timeout, a pause and the next call fit into the recovery bound, or into the change bound of
+    //! `which`.
+    std::chrono::milliseconds poll_duration(collection which) const;
     //! The same while other instances depend on this one.
     std::chrono::milliseconds poll_duration_with_dependents(collection which) const;
     //! Age of the latest response of the store for `which` up to which other instances may depend on it. The
--- a/src/store/tests/collection_watcher_tests.cpp
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -329,7 +329,9 @@
         collection_watcher_configuration configuration;
         configuration.recovery_bound = bound;
         const auto longest_pause = 2 * configuration.min_backoff;
-        CHECK(configuration.poll_duration() + configuration.poll_timeout + longest_pause < bound);
+        CHECK(configuration.poll_duration(collection::upstreams) + configuration.poll_timeout +
+                  longest_pause <
+              bound);
         CHECK(configuration.list_timeout + longest_pause < bound);
         CHECK(configuration.max_backoff + configuration.min_backoff < bound);
     }
