--- a/tools/soak/arrival_checker.cpp
+++ b/tools/soak/arrival_checker.cpp
@@ -106,8 +106,12 @@
                    !this->is_excused(name, heard_at, one.at);
         });
         if (late > 0) {
-            found.push_back("leaving by its answers: " + upstream + " got " + std::to_string(late) +
-                            " late requests from " + gateway);
+            found.push_back(std::string("leaving by its answers: ")
+                                .append(upstream)
+                                .append(" got ")
+                                .append(std::to_string(late))
+                                .append(" late requests from ")
+                                .append(gateway));
         }
     }
 }
@@ -127,8 +131,12 @@
             most = this->is_excused(gateway, from, until) ? most : std::max(most, count);
         }
         if (most > this->bounds.pause_slack) {
-            found.push_back("turned away: " + upstream + " got " + std::to_string(most) + " requests from " +
-                            gateway + " in a pause");
+            found.push_back(std::string("turned away: ")
+                                .append(upstream)
+                                .append(" got ")
+                                .append(std::to_string(most))
+                                .append(" requests in a pause from ")
+                                .append(gateway));
         }
     }
 }
