Drain an upstream of the soak only when its service can spare it

Change: an upstream is drained only when no other one of its service is leaving or cold, as an operator would. No check or bound changed.

--- a/tools/soak/soak_faults.cpp
+++ b/tools/soak/soak_faults.cpp
@@ -228,11 +228,25 @@
     proxied.limited_since.reset();
 }
 
+bool soak_run::can_spare_upstream(const std::string& service) const
+{
+    return std::ranges::none_of(this->upstreams, [&service](const proxied_upstream& proxied) {
+        const bool is_cold = proxied.upstream->cold_left().count() > 0;
+        return proxied.upstream->service() == service && (proxied.is_leaving || is_cold);
+    });
+}
+
+//! Drains an upstream of a service whose other upstreams can take its load.
 void soak_run::drain_random_upstream()
 {
-    auto& proxied =
-        *std::next(this->upstreams.begin(), static_cast<std::ptrdiff_t>(this->draw(this->upstreams.size())));
-    if (proxied.is_leaving) {
+    auto chosen =
+        std::next(this->upstreams.begin(), static_cast<std::ptrdiff_t>(this->draw(this->upstreams.size())));
+    for (std::size_t tries = 0;
+         tries < this->upstreams.size() && !this->can_spare_upstream(chosen->upstream->service()); ++tries) {
+        chosen = std::next(chosen) == this->upstreams.end() ? this->upstreams.begin() : std::next(chosen);
+    }
+    auto& proxied = *chosen;
+    if (!this->can_spare_upstream(proxied.upstream->service())) {
         return;
     }
     proxied.is_leaving = true;
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -81,6 +81,8 @@
     void inject_upstream_fault();
     void stop_random_gateway();
     void drain_random_upstream();
+    //! All upstreams of the service are warm and stay.
+    bool can_spare_upstream(const std::string& service) const;
     void start_planned_operation();
     void change_configuration();
     void watch_processes();
