--- a/src/gateway/gateway_translation.cpp
+++ b/src/gateway/gateway_translation.cpp
@@ -53,11 +53,11 @@
     case http::call_status::cancelled:
         return outcome;
     }
-    //! NOTE A success response without the upstream's signature did not come from the upstream. A status that
-    //! promises more than the upstream said must not reach the caller.
     if (metadata.is_authentic) {
         outcome.signals = metadata.signals;
     }
+    //! NOTE A success response without the upstream's signature did not come from the upstream. A status that
+    //! promises more than the upstream said must not reach the caller.
     const bool promises_too_much = metadata.promises_not_executed && !metadata.is_not_executed;
     if (!metadata.is_authentic || promises_too_much) {
         outcome.status = proxy::transport_status::broken;
