Keep the platform's words of the soak in its stand-ins

Cause: loopback_proxy spelled a header of the platform. Change: the refusal without an id stands in platform_messages.

--- a/tools/soak/loopback_proxy.cpp
+++ b/tools/soak/loopback_proxy.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio.hpp>
 
+#include "platform_messages.h"
+
 namespace buckthornhill::soak {
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -16,8 +18,6 @@
 //! From a response to the bytes after it, so that they arrive while the next request is in progress.
 constexpr std::chrono::milliseconds stray_bytes_delay{10};
 constexpr std::size_t cut_head_bytes = 24;
-constexpr std::string_view stray_refusal =
-    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr auto as_result_tuple = asio::as_tuple(asio::use_awaitable);
 
 //! The connection from a client and the matching connection to the target.
@@ -64,7 +64,7 @@
     std::string stray_bytes(std::string_view response) const
     {
         if (this->mode == proxy_mode::add_refusals) {
-            return std::string(stray_refusal);
+            return std::string(platform::standins::refusal_without_id);
         }
         return this->mode == proxy_mode::repeat_responses ? std::string(response) : std::string();
     }
