Remember that an upstream leaves also while it is evacuated

What callers would see: requests to an upstream that has said that it leaves, once the evacuation of its failure domain ends (DRAIN). Cause: the signal was kept only for an upstream that was usable at that moment. Change: it is kept for every listed run that is not known to leave yet. Evidence: the new test of fleet_tests failed before (2 checks) and passes now.

--- a/src/fleet/tests/upstream_roster_tests.cpp
+++ b/src/fleet/tests/upstream_roster_tests.cpp
@@ -165,3 +165,19 @@
         CHECK(incremental.usable(service_id(service)) == replaced.usable(service_id(service)));
     }
 }
+
+//! Guards against an upstream that says it leaves during an evacuation and is used again when that ends.
+TEST_CASE(
+    "[GIVEN] an upstream in an evacuated domain [WHEN] it says that it leaves and the evacuation ends [THEN] "
+    "it stays unused",
+    "[fleet][pattern: upstreams leave while the store is silent]")
+{
+    upstream_roster roster{roster_configuration{}};
+    const auto entry = make_entry("u1");
+    roster.upsert(time_point{}, entry);
+    roster.set_evacuated({entry.where.domain});
+    CHECK(roster.on_leaving(entry.id));
+    CHECK_FALSE(roster.on_leaving(entry.id));
+    roster.set_evacuated({});
+    CHECK(roster.find_usable(entry.id) == nullptr);
+}
--- a/src/fleet/upstream_roster.cpp
+++ b/src/fleet/upstream_roster.cpp
@@ -95,11 +95,15 @@
 bool upstream_roster::on_leaving(const upstream_id& id)
 {
     const auto found = this->upstreams.find(id);
-    if (found == this->upstreams.end() || !this->is_usable(found->second)) {
+    if (found == this->upstreams.end()) {
+        return false;
+    }
+    const auto& entry = found->second.entry;
+    if (this->departed_runs.contains({entry.id, entry.started_at_ms})) {
         return false;
     }
     const auto previous_service = this->usable_service(id);
-    this->remember_departed(found->second.entry);
+    this->remember_departed(entry);
     this->update_usable(id, previous_service);
     return true;
 }
