Tell in the log what a request is and when an upstream has ended

The lines of the log could not join two attempts of the same request under different ids, and none said that an upstream had ended, so the hypotheses of the incident could not be told apart by them.

Each request gets a fingerprint: a BLAKE2b digest of method, host, target, caller and body, 128 bits, so that nobody can make another request with the same one, and without a key that all instances would have to share. The other program uses it too; it took a hash that anyone can make collide. The lines send_failed and answer carry it.

When a connection to an upstream is lost, the instance opens another one: refused means that the upstream has ended, as does another run that answers or registers at its address. Then the line 'ended' names the evidence, and a counter tells lost connections of ended upstreams from the others. Nothing is decided by it yet.

--- a/buildscripts/install.sh
+++ b/buildscripts/install.sh
@@ -7,4 +7,4 @@
     g++ cmake ninja-build ccache clang-format clang-tidy \
     libboost1.81-dev libboost-log1.81-dev libboost-program-options1.81-dev \
     libboost-json1.81-dev libboost-thread1.81-dev \
-    prometheus-cpp-dev libcurl4-openssl-dev zlib1g-dev catch2 libxxhash-dev >/dev/null
+    prometheus-cpp-dev libcurl4-openssl-dev zlib1g-dev catch2 libxxhash-dev libsodium-dev >/dev/null
--- a/src/daemon/request_translation.cpp
+++ b/src/daemon/request_translation.cpp
@@ -161,7 +161,7 @@
     facts.body_size = byte_count(request.body.size());
     facts.affinity = hash_text(request.target);
     facts.request_fingerprint =
-        fingerprint(hash_text(request.body, hash_text(request.method, facts.affinity)));
+        fingerprint_of({request.method, request.target, facts.customer.str(), request.body});
     const auto name = http::find_header(request.headers, headers::ticket);
     if (!name.empty()) {
         facts.ticket = requests::parse_ticket(name);
--- a/src/fleet/fleet_types.h
+++ b/src/fleet/fleet_types.h
@@ -21,5 +21,10 @@
     slot_count slots;
     bool is_leaving = false;
     std::chrono::milliseconds cold_left{0}; //!< remaining time in which it can handle only few requests
+
+    upstream_run run() const
+    {
+        return upstream_run(this->id.str() + "@" + std::to_string(this->started_at_ms));
+    }
 };
 } // namespace buckthornhill::fleet
--- a/src/fleet/tests/upstream_roster_tests.cpp
+++ b/src/fleet/tests/upstream_roster_tests.cpp
@@ -181,3 +181,30 @@
     roster.set_evacuated({});
     CHECK(roster.find_usable(entry.id) == nullptr);
 }
+
+TEST_CASE(
+    "[GIVEN] a run that a later one replaced at its address [WHEN] it is looked for [THEN] the later run is "
+    "found, and an earlier one is not",
+    "[fleet]")
+{
+    upstream_roster roster{roster_configuration{}};
+    const time_point now{};
+    const auto first = make_entry("u1", 7);
+    roster.upsert(now, first);
+    CHECK_FALSE(roster.has_other_run_at(first.address, first.run()));
+    const auto second = make_entry("u2", 9);
+    roster.upsert(now, second);
+    CHECK(roster.has_other_run_at(first.address, first.run()));
+    CHECK_FALSE(roster.has_other_run_at(first.address, second.run()));
+    CHECK_FALSE(roster.has_other_run_at("10.0.0.2:80", first.run()));
+}
+
+TEST_CASE("[GIVEN] a run that started again under the same id [WHEN] it is looked for [THEN] the later run "
+          "is found",
+          "[fleet]")
+{
+    upstream_roster roster{roster_configuration{}};
+    const auto first = make_entry("u1", 7);
+    roster.upsert(time_point{}, make_entry("u1", 9));
+    CHECK(roster.has_other_run_at(first.address, first.run()));
+}
--- a/src/fleet/upstream_roster.cpp
+++ b/src/fleet/upstream_roster.cpp
@@ -199,6 +199,21 @@
     return found != this->upstreams.end() && now < found->second.cold_until;
 }
 
+bool upstream_roster::has_other_run_at(const std::string& address, const upstream_run& run) const
+{
+    const auto is_at_address = [&](const auto& item) { return item.second.entry.address == address; };
+    const auto is_run = [&](const auto& item) { return item.second.entry.run() == run; };
+    const auto other = std::ranges::find_if(
+        this->upstreams, [&](const auto& item) { return is_at_address(item) && !is_run(item); });
+    if (other == this->upstreams.end()) {
+        return false;
+    }
+    //! NOTE The entry of an earlier run may still be listed beside that of `run`.
+    const auto known = std::ranges::find_if(this->upstreams, is_run);
+    return known == this->upstreams.end() ||
+           other->second.entry.started_at_ms > known->second.entry.started_at_ms;
+}
+
 void upstream_roster::rebuild_usable()
 {
     std::map<service_id, std::vector<upstream_id>> rebuilt;
--- a/src/fleet/upstream_roster.h
+++ b/src/fleet/upstream_roster.h
@@ -52,6 +52,8 @@
     //! Null when `id` may not receive requests now.
     const known_upstream* find_usable(const upstream_id& id) const;
     bool is_cold(time_point now, const upstream_id& id) const;
+    //! Whether a run that started after `run` is registered at `address`.
+    bool has_other_run_at(const std::string& address, const upstream_run& run) const;
     //! Increases whenever `usable` changes for any service.
     std::uint64_t epoch() const { return this->view_epoch; }
     std::size_t size() const { return this->upstreams.size(); }
--- a/src/gateway/gateway_dialect.h
+++ b/src/gateway/gateway_dialect.h
@@ -19,6 +19,7 @@
     std::string request_id;
     std::string object; //!< the object that the request refers to; empty when it names none
     std::optional<std::chrono::milliseconds> time_left; //!< how much longer the caller waits
+    std::string caller; //!< the account in whose name it is sent; empty when it names none
 };
 
 //! What an upstream's response carries in addition to its status and body.
--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -47,6 +47,10 @@
     , view(platform_dialect, this->core)
     , timer(std::make_unique<periodic_timer>(context, tick_interval, [this] { this->on_tick(); }))
     , upstream_client(std::make_unique<http::http_client>(context, upstream_limits(initial_settings)))
+    , end_detector(context, initial_settings.upstream_connect_timeout,
+                   [this](const upstream_run& run, bool has_ended, const std::string& evidence) {
+                       this->on_upstream_checked(run, has_ended, evidence);
+                   })
     , pause_monitor(min_reported_pause)
 {
     peer_gossip::hooks peer_hooks;
@@ -215,6 +219,9 @@
         this->peers->on_registered(time, this->view.registered_instances());
         this->update_shared_limits();
     }
+    if (update.which == store::collection::upstreams) {
+        this->end_detector.on_registrations_changed(time, this->core.upstreams());
+    }
     this->relay->on_view_changed(time);
     if (this->view.is_complete() && !this->leave.is_leaving()) {
         this->peers->become_live(time);
@@ -272,6 +279,7 @@
     new_flow.exchange = exchange;
     new_flow.request_id = std::move(metadata.request_id);
     new_flow.object = std::move(metadata.object);
+    new_flow.request_fingerprint = facts.request_fingerprint;
     new_flow.arrived_at = exchange->received_at();
     if (const auto* route = this->core.routes().find(facts.host, facts.path)) {
         new_flow.route = route->name;
@@ -326,9 +334,11 @@
         return is_response_to(id, this->dialect.read_response(response));
     };
     flow.upstream = action.upstream;
+    flow.run = action.run;
+    flow.upstream_address = http::parse_endpoint(action.address);
     flow.attempt = action.attempt;
     flow.call = this->upstream_client->send(
-        http::parse_endpoint(action.address), std::move(request), std::move(terms),
+        flow.upstream_address, std::move(request), std::move(terms),
         [this, id = action.flow, attempt = action.attempt](http::call_result result) {
             this->on_upstream_result(id, attempt, std::move(result));
         });
@@ -349,6 +359,12 @@
                                              std::to_string(result.response.status)
                                        : result.detail);
     }
+    if (is_current && result.status == http::call_status::broken) {
+        this->end_detector.on_connection_lost(now(), found->second.run, found->second.upstream_address);
+    }
+    if (is_current && outcome.is_misdirected) {
+        this->end_detector.on_misdirected(found->second.run);
+    }
     if (is_current) {
         found->second.response = std::move(result.response);
     }
@@ -356,6 +372,14 @@
     this->run_actions();
 }
 
+void gateway_engine::on_upstream_checked(const upstream_run& run, bool has_ended, const std::string& evidence)
+{
+    if (has_ended) {
+        log::event("upstreams", "ended", {{"run", run.str()}, {"evidence", evidence}});
+    }
+    this->metrics.on_connection_lost(has_ended);
+}
+
 void gateway_engine::run(const proxy::cancel_attempt_action& action)
 {
     const auto found = this->flows.find(action.flow);
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -12,6 +12,7 @@
 #include "gateway/peer_gossip.h"
 #include "gateway/request_log.h"
 #include "gateway/store_relay.h"
+#include "gateway/upstream_end_detector.h"
 #include "global/pause_detector.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -71,6 +72,7 @@
     void on_lookup(const http::exchange_ptr& exchange);
     void on_readiness(const http::exchange_ptr& exchange);
     void on_upstream_result(flow_id flow, std::uint64_t attempt, http::call_result result);
+    void on_upstream_checked(const upstream_run& run, bool has_ended, const std::string& evidence);
     void on_collection(const store::collection_update& update);
     void on_tick();
     void update_gauges();
@@ -103,6 +105,7 @@
     fleet_view view;
     std::unique_ptr<periodic_timer> timer;
     std::unique_ptr<http::http_client> upstream_client;
+    upstream_end_detector end_detector;
     std::unique_ptr<peer_gossip> peers;
     std::unique_ptr<store_relay> relay;
     std::unique_ptr<http::http_server> caller_server;
--- a/src/gateway/gateway_flow.h
+++ b/src/gateway/gateway_flow.h
@@ -16,8 +16,11 @@
     std::string request_id;
     std::string object;
     std::string route;
+    fingerprint request_fingerprint;
     time_point arrived_at;
     upstream_id upstream; //!< of the latest attempt
+    upstream_run run;
+    http::endpoint upstream_address;
     std::uint64_t attempt = 0;
     http::call_id call;
     http::http_response response; //!< to the latest attempt
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -32,6 +32,10 @@
                                .Name("buckthornhill_gateway_upstream_signals_total")
                                .Help("Beginnings and ends of what upstreams say of themselves in responses.")
                                .Register(registry))
+        , lost_upstreams(prometheus::BuildCounter()
+                             .Name("buckthornhill_gateway_lost_upstreams_total")
+                             .Help("Upstreams whose connection was lost, by whether they had ended.")
+                             .Register(registry))
         , gauges(prometheus::BuildGauge()
                      .Name("buckthornhill_gateway_state")
                      .Help("Live instances, requests in progress, requests waiting, upstreams known.")
@@ -43,6 +47,7 @@
     prometheus::Family<prometheus::Histogram>& latency;
     prometheus::Counter& lookups;
     prometheus::Family<prometheus::Counter>& upstream_signals;
+    prometheus::Family<prometheus::Counter>& lost_upstreams;
     prometheus::Family<prometheus::Gauge>& gauges;
 };
 
@@ -86,6 +91,11 @@
     this->registered->upstream_signals.Add({{"signal", signal}}).Increment();
 }
 
+void gateway_metrics::on_connection_lost(bool has_ended)
+{
+    this->registered->lost_upstreams.Add({{"state", has_ended ? "ended" : "running"}}).Increment();
+}
+
 void gateway_metrics::set_gauge(const std::string& name, double value)
 {
     this->registered->gauges.Add({{"kind", name}}).Set(value);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -24,6 +24,8 @@
     void on_lookup();
     //! An upstream began or ceased to say something of itself in its responses; `signal` has few values.
     void on_upstream_signal(const std::string& signal);
+    //! An upstream whose connection was lost has ended or not.
+    void on_connection_lost(bool has_ended);
     void set_gauge(const std::string& name, double value);
 
 private:
--- a/src/gateway/gateway_translation.cpp
+++ b/src/gateway/gateway_translation.cpp
@@ -23,6 +23,8 @@
     facts.flow = flow;
     facts.host = host_of(request);
     facts.path = http::path_of(request.target);
+    facts.request_fingerprint =
+        fingerprint_of({request.method, facts.host, request.target, metadata.caller, request.body});
     facts.has_object = !metadata.object.empty();
     facts.object = placement::object_hash(facts.has_object ? hash_text(metadata.object, hash_text(facts.host))
                                                            : hash_text(metadata.request_id));
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -16,6 +16,7 @@
                 {"reason", completion.reason},
                 {"status", completion.status},
                 {"object", flow.object},
+                {"fingerprint", flow.request_fingerprint.str()},
                 {"sends", flow.attempt},
                 {"upstream", flow.upstream.str()},
                 {"took_ms", to_milliseconds(completion.elapsed)},
@@ -27,6 +28,7 @@
 {
     log::event(log_part, "send_failed",
                {{"request", flow.request_id},
+                {"fingerprint", flow.request_fingerprint.str()},
                 {"send", attempt},
                 {"upstream", flow.upstream.str()},
                 {"detail", detail}});
--- a/src/gateway/tests/gateway_translation_tests.cpp
+++ b/src/gateway/tests/gateway_translation_tests.cpp
@@ -25,7 +25,7 @@
     http::http_request request;
     request.target = "/a/b?c=d";
     request.headers = {{"host", "h.example:8080"}};
-    request_metadata metadata{"id-1", "object-7", milliseconds(800)};
+    request_metadata metadata{"id-1", "object-7", milliseconds(800), ""};
 
     const auto facts = facts_of(request, metadata, flow_id(3), now);
 
@@ -43,6 +43,44 @@
     CHECK(unnamed.deadline > now);
 }
 
+TEST_CASE(
+    "[GIVEN] a request that is sent again [WHEN] it is translated [THEN] the fingerprint is the same, and "
+    "another one for any other method, host, target, caller or body",
+    "[gateway]")
+{
+    http::http_request request;
+    request.method = "PUT";
+    request.target = "/a/b?c=d";
+    request.headers = {{"Host", "h.example"}};
+    request.body = "text";
+    request_metadata metadata;
+    metadata.request_id = "first";
+    metadata.caller = "account";
+    const auto print_of = [&metadata](const http::http_request& sent) {
+        return facts_of(sent, metadata, flow_id(1), now).request_fingerprint;
+    };
+    const auto print = print_of(request);
+
+    metadata.request_id = "second";
+    metadata.time_left = milliseconds(10);
+    CHECK(print_of(request) == print);
+
+    auto other = request;
+    other.method = "POST";
+    CHECK(print_of(other) != print);
+    other = request;
+    other.headers = {{"Host", "i.example"}};
+    CHECK(print_of(other) != print);
+    other = request;
+    other.target = "/a/b?c=e";
+    CHECK(print_of(other) != print);
+    other = request;
+    other.body = "texts";
+    CHECK(print_of(other) != print);
+    metadata.caller = "another account";
+    CHECK(print_of(request) != print);
+}
+
 TEST_CASE("[GIVEN] results of calls [WHEN] they are translated [THEN] a request that may have run is never "
           "reported as not executed",
           "[gateway][honest answers]")
--- a/src/global/ids.h
+++ b/src/global/ids.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "global/fingerprint.h"
 #include "global/strong_id.h"
 #include "global/strong_number.h"
 
@@ -9,6 +10,8 @@
 namespace buckthornhill {
 using instance_id = strong_id<struct instance_tag>; //!< an entry instance, from its settings
 using upstream_id = strong_id<struct upstream_tag>;
+//! One run of an upstream, from its start to its end.
+using upstream_run = strong_id<struct upstream_run_tag>;
 using service_id = strong_id<struct service_tag>;
 using region_id = strong_id<struct region_tag>;
 using domain_id = strong_id<struct domain_tag>; //!< a failure domain
@@ -21,8 +24,6 @@
 using ticket_number = strong_number<struct ticket_tag, std::uint64_t>;
 //! One request inside one daemon.
 using flow_id = strong_number<struct flow_tag, std::uint64_t>;
-//! Hash of what a request asks for, the same for every resend of it.
-using fingerprint = strong_number<struct fingerprint_tag, std::uint64_t>;
 //! Version that the platform's object API gave to an object.
 using object_version = strong_number<struct object_version_tag, std::uint64_t>;
 } // namespace buckthornhill
--- a/src/global/json_reader.cpp
+++ b/src/global/json_reader.cpp
@@ -60,6 +60,11 @@
     return number;
 }
 
+std::uint64_t json_reader::unsigned_integer_or(std::string_view key, std::uint64_t fallback) const
+{
+    return this->has(key) ? this->unsigned_integer(key) : fallback;
+}
+
 bool json_reader::flag_or(std::string_view key, bool fallback) const
 {
     if (!this->has(key)) {
--- a/src/global/json_reader.h
+++ b/src/global/json_reader.h
@@ -28,6 +28,7 @@
     std::int64_t integer(std::string_view key) const;
     std::int64_t integer_or(std::string_view key, std::int64_t fallback) const;
     std::uint64_t unsigned_integer(std::string_view key) const;
+    std::uint64_t unsigned_integer_or(std::string_view key, std::uint64_t fallback) const;
     bool flag_or(std::string_view key, bool fallback) const;
     //! The array under `key`; an absent key is an empty array.
     const boost::json::array& array(std::string_view key) const;
--- a/src/node/request_coordinator.cpp
+++ b/src/node/request_coordinator.cpp
@@ -202,7 +202,8 @@
     const upstream_id* best = nullptr;
     std::uint64_t best_weight = 0;
     for (const auto& id : service->second) {
-        const auto weight = rendezvous_weight(hash_text(id.str()), flow.facts.request_fingerprint.value());
+        const auto weight =
+            rendezvous_weight(hash_text(id.str()), flow.facts.request_fingerprint.high_bits());
         const auto* upstream = this->components.directory.find(id);
         const bool is_usable = !upstream->is_leaving && !this->components.drain_gate.is_drained(*upstream);
         if (is_usable && (best == nullptr || weight > best_weight)) {
--- a/src/node/tests/cluster_simulation.cpp
+++ b/src/node/tests/cluster_simulation.cpp
@@ -601,7 +601,7 @@
             facts.is_idempotent = request->is_idempotent;
             facts.deadline = this->now + request_timeout;
             facts.request_fingerprint = request->request_fingerprint;
-            facts.affinity = request->request_fingerprint.value();
+            facts.affinity = request->request_fingerprint.high_bits();
             facts.ticket = request->ticket;
             instance.request_of_flow[facts.flow.value()] = request->id;
             instance.response_handlers[facts.flow.value()] =
--- a/src/node/tests/trace_replay.cpp
+++ b/src/node/tests/trace_replay.cpp
@@ -95,7 +95,7 @@
         facts.deadline = this->now + milliseconds(line.integer_or("deadline_ms", 1000));
         facts.request_fingerprint =
             fingerprint(static_cast<std::uint64_t>(line.integer_or("print", line.integer("flow"))));
-        facts.affinity = facts.request_fingerprint.value();
+        facts.affinity = facts.request_fingerprint.high_bits();
         facts.body_size = byte_count(static_cast<std::uint64_t>(line.integer_or("bytes", 0)));
         if (line.has("ticket")) {
             facts.ticket = requests::parse_ticket(line.text("ticket"));
--- a/src/peers/heartbeat_codec.cpp
+++ b/src/peers/heartbeat_codec.cpp
@@ -127,7 +127,8 @@
 {
     json::array array;
     for (const auto& note : notes) {
-        array.push_back({{"print", note.request_fingerprint.value()},
+        array.push_back({{"print", note.request_fingerprint.high_bits()},
+                         {"print_low", note.request_fingerprint.low_bits()},
                          {"upstream", note.upstream.str()},
                          {"cleared", note.is_cleared}});
     }
@@ -154,8 +155,9 @@
 
 quarantine::crash_note decode_note(const json_reader& reader)
 {
-    return {fingerprint(reader.unsigned_integer("print")), upstream_id(reader.text("upstream")),
-            reader.flag_or("cleared", false)};
+    //! NOTE Instances of an earlier version send only one half.
+    const fingerprint print(reader.unsigned_integer("print"), reader.unsigned_integer_or("print_low", 0));
+    return {print, upstream_id(reader.text("upstream")), reader.flag_or("cleared", false)};
 }
 
 heartbeat read_heartbeat(std::string_view body)
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -185,7 +185,7 @@
     flow.sent_at = now;
     ++flow.attempt;
     this->outbox.push_back(start_attempt_action{flow.facts.flow, flow.attempt, flow.choice.upstream,
-                                                known->entry.address, flow.deadline,
+                                                known->entry.run(), known->entry.address, flow.deadline,
                                                 flow.repeats == repeat_rule::at_most_once});
 }
 
--- a/src/proxy/proxy_types.h
+++ b/src/proxy/proxy_types.h
@@ -34,7 +34,8 @@
 {
     flow_id flow;
     std::string host;
-    std::string path; //!< without the query
+    std::string path;                //!< without the query
+    fingerprint request_fingerprint; //!< of method, host, target, caller and body
     placement::object_hash object;
     bool has_object = false; //!< the caller named an object; else `object` only distributes the load
     time_point arrived_at;   //!< before `on_request` if it had to wait behind others on its connection
@@ -55,6 +56,7 @@
     flow_id flow;
     std::uint64_t attempt = 0; //!< number of this attempt within the request
     upstream_id upstream;
+    upstream_run run;
     std::string address;
     time_point deadline;
     bool needs_recent_connection = false; //!< the request may run at most once; see `http::connection_choice`
