Keep the sockets of stand-ins out of the processes under test

Processes started by a test inherited the listening sockets of the stand-ins that ran in the test itself. An upstream that crashed kept its port open in the gateways' processes: connects to it succeeded and hung until the deadline instead of being refused. So no soak and no process test has played an upstream whose process has ended.

Seen in a trace of the system calls of a gateway: a connect to the port of a stand-in that had closed its listener succeeds.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -13,6 +13,8 @@
 
 namespace buckthornhill::testing {
 namespace {
+constexpr int first_inherited_descriptor = 3; //!< after standard input, output and error
+
 std::string read_line(int descriptor)
 {
     std::string line;
@@ -65,6 +67,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDERR_FILENO);
+    //! NOTE A process that inherits the listeners of stand-ins would keep their ports open after their end.
+    posix_spawn_file_actions_addclosefrom_np(&actions, first_inherited_descriptor);
     auto arguments = command;
     auto variables = environment_with(environment);
     pid_t process = -1;
@@ -100,6 +104,8 @@
     const bool is_output_logged = output == child_output::log;
     posix_spawn_file_actions_adddup2(&actions, is_output_logged ? STDERR_FILENO : pipe_ends[1],
                                      STDOUT_FILENO);
+    //! NOTE A process that inherits the listeners of stand-ins would keep their ports open after their end.
+    posix_spawn_file_actions_addclosefrom_np(&actions, first_inherited_descriptor);
     auto arguments = command;
     auto variables = environment_with(environment);
     const int status = posix_spawn(&this->process, command.front().c_str(), &actions, nullptr,
