--- a/tools/soak/arrival_checker.cpp
+++ b/tools/soak/arrival_checker.cpp
@@ -26,7 +26,7 @@
     this->by_service[service][request].push_back(at);
     const auto known = this->sent.find(request);
     const auto origin = known == this->sent.end() ? std::pair{at, std::string()} : known->second;
-    this->by_upstream[upstream].push_back({at, origin.first, origin.second});
+    this->by_upstream[upstream].push_back({at, origin.first, origin.second, request});
 }
 
 void arrival_checker::on_cold(time_point from, time_point until, const std::string& upstream,
@@ -141,6 +141,51 @@
     }
 }
 
+void arrival_checker::on_crashing_request(const std::string& request, const std::string& content)
+{
+    this->crashing_content[request] = content;
+}
+
+void arrival_checker::on_crash(time_point at, const std::string& content)
+{
+    this->crashes[content].push_back(at);
+}
+
+void arrival_checker::check_crashes(std::vector<std::string>& found) const
+{
+    std::map<std::string, std::ptrdiff_t> late;
+    for (const auto& [upstream, all] : this->by_upstream) {
+        for (const auto& one : all) {
+            const auto content = this->crashing_content.find(one.request);
+            if (content == this->crashing_content.end()) {
+                continue;
+            }
+            const auto known = this->crashes.find(content->second);
+            const bool has_crashed_often =
+                known != this->crashes.end() && known->second.size() >= this->bounds.tolerated_crashes;
+            if (!has_crashed_often) {
+                continue;
+            }
+            const auto noticed_at =
+                known->second[this->bounds.tolerated_crashes - 1] + this->bounds.crash_notice;
+            const bool is_late = one.sent_at > noticed_at && one.at > noticed_at;
+            if (is_late && !this->is_excused(one.gateway, one.sent_at - this->bounds.crash_notice, one.at)) {
+                ++late[content->second];
+            }
+        }
+    }
+    for (const auto& [content, count] : late) {
+        if (count > this->bounds.retries_after_crashes) {
+            found.push_back(std::string("crashing request: ")
+                                .append(content)
+                                .append(" reached upstreams ")
+                                .append(std::to_string(count))
+                                .append(" times after its third crash was known; crashes ")
+                                .append(std::to_string(this->crashes.at(content).size())));
+        }
+    }
+}
+
 void arrival_checker::check_limit(const std::string& upstream, const rate_period& period,
                                   std::vector<std::string>& found) const
 {
@@ -243,6 +288,7 @@
     }
     this->check_leaving(found);
     this->check_pauses(found);
+    this->check_crashes(found);
     return found;
 }
 } // namespace buckthornhill::soak
--- a/tools/soak/arrival_checker.h
+++ b/tools/soak/arrival_checker.h
@@ -25,6 +25,9 @@
     std::chrono::milliseconds drain{2000}; //!< after a response that says that the upstream leaves
     std::chrono::milliseconds pause_notice{500};
     std::ptrdiff_t pause_slack = 2; //!< requests of one gateway during a pause
+    std::size_t tolerated_crashes = 3;
+    std::chrono::milliseconds crash_notice{3000}; //!< after the last tolerated crash of a request
+    std::ptrdiff_t retries_after_crashes = 3;
 };
 
 //! Records which requests reached the upstreams, whether they ran or were rejected, and reports the limits
@@ -54,6 +57,10 @@
     //! The upstream rejected the request and wants none of this gateway until `until`.
     void on_turned_away(time_point at, time_point until, const std::string& request,
                         const std::string& upstream);
+    //! The request is one of those with `content`, which crash the upstreams that run them.
+    void on_crashing_request(const std::string& request, const std::string& content);
+    //! A request with `content` has crashed an upstream.
+    void on_crash(time_point at, const std::string& content);
     //! The gateway restarted or froze, or was cut off, from `from` to `until`, which excuses it from the
     //! limits.
     void on_gateway_fault(time_point from, time_point until, const std::string& gateway);
@@ -67,6 +74,7 @@
         time_point at;
         time_point sent_at;
         std::string gateway;
+        std::string request;
     };
     struct rate_period
     {
@@ -84,6 +92,7 @@
                      std::vector<std::string>& found) const;
     void check_leaving(std::vector<std::string>& found) const;
     void check_pauses(std::vector<std::string>& found) const;
+    void check_crashes(std::vector<std::string>& found) const;
     bool is_excused(const std::string& gateway, time_point from, time_point until) const;
     //! The request counts for the limit: its gateway knew of it and is not excused.
     bool is_limited(const std::string& upstream, const rate_period& period, const arrival& one) const;
@@ -100,5 +109,7 @@
     //! Begin and end, by gateway and upstream.
     std::map<std::pair<std::string, std::string>, std::vector<std::pair<time_point, time_point>>> pauses;
     std::map<std::string, std::vector<rate_period>> gateway_faults;
+    std::map<std::string, std::string> crashing_content; //!< by request
+    std::map<std::string, time_points> crashes;          //!< by content
 };
 } // namespace buckthornhill::soak
--- a/tools/soak/gateway_process.cpp
+++ b/tools/soak/gateway_process.cpp
@@ -3,7 +3,22 @@
 #include <csignal>
 #include <fstream>
 
+#include <unistd.h>
+
 namespace buckthornhill::soak {
+namespace {
+constexpr std::uint64_t octet_value_count = 250;
+constexpr std::size_t first_host = 10;
+} // namespace
+
+std::string loopback_address_of(std::size_t gateway)
+{
+    const auto process = static_cast<std::uint64_t>(getpid());
+    return "127." + std::to_string(1 + process % octet_value_count) + "." +
+           std::to_string(1 + process / octet_value_count % octet_value_count) + "." +
+           std::to_string(first_host + gateway);
+}
+
 gateway_process::gateway_process(std::string program_path, std::string work_directory,
                                  gateway_identity gateway, const http::endpoint& store,
                                  const std::string& settings)
--- a/tools/soak/gateway_process.h
+++ b/tools/soak/gateway_process.h
@@ -17,6 +17,9 @@
     std::string address; //!< a loopback address that no other gateway uses, so that the fixed ports are free
 };
 
+//! Address of a gateway of this process, which concurrent runs do not share.
+std::string loopback_address_of(std::size_t gateway);
+
 //! One gateway of the deployment: its settings file and its process, which can be restarted.
 class gateway_process
 {
@@ -46,6 +49,7 @@
     //! May be called only while the process is running.
     pid_t pid() const { return this->process->pid(); }
     const std::string& name() const { return this->identity.instance; }
+    std::string log_path() const { return this->directory + "/" + this->identity.instance + ".log"; }
 
 private:
     std::string program;
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
-#include <unistd.h>
 
 namespace buckthornhill::soak {
 using namespace platform::standins;
@@ -28,21 +27,12 @@
 constexpr milliseconds final_operations_delay{1500};
 constexpr milliseconds recovered_load_time{6000}; //!< in which recovery, drain and change are checked
 constexpr milliseconds last_response_wait{4000};  //!< for requests in progress at the end
-constexpr std::uint64_t octet_value_count = 250;
 
 time_point now()
 {
     return std::chrono::steady_clock::now();
 }
 
-//! Derives the loopback address from the process id, so that concurrent runs do not share addresses.
-std::string address_of(std::size_t gateway)
-{
-    const auto process = static_cast<std::uint64_t>(getpid());
-    return "127." + std::to_string(1 + process % octet_value_count) + "." +
-           std::to_string(1 + process / octet_value_count % octet_value_count) + "." +
-           std::to_string(10 + gateway);
-}
 } // namespace
 
 soak_run::soak_run(const soak_options& run_options)
@@ -62,7 +52,8 @@
         settings += "region-of-domain = " + name + "=" + name.substr(0, name.find('-')) + "\n";
     }
     for (std::size_t i = 0; i < 2; ++i) {
-        settings += "seed = " + address_of(i) + ":" + std::to_string(gateway_process::peers_port) + "\n";
+        settings +=
+            "seed = " + loopback_address_of(i) + ":" + std::to_string(gateway_process::peers_port) + "\n";
     }
     this->start_gateways(settings);
     this->callers.resize(run_options.callers);
@@ -129,7 +120,8 @@
 {
     for (std::size_t i = 0; i < this->options.gateways; ++i) {
         this->store_proxies.push_back(std::make_unique<loopback_proxy>(this->context, this->store.address()));
-        const gateway_identity identity{"g" + std::to_string(i), domains[i % domains.size()], address_of(i)};
+        const gateway_identity identity{"g" + std::to_string(i), domains[i % domains.size()],
+                                        loopback_address_of(i)};
         this->gateways.push_back(
             std::make_unique<gateway_process>(this->options.gateway_program, this->options.directory,
                                               identity, this->store_proxies.back()->address(), settings));
--- a/tools/soak/tests/arrival_checker_tests.cpp
+++ b/tools/soak/tests/arrival_checker_tests.cpp
@@ -106,3 +106,30 @@
     checker.on_gateway_fault(at(200), at(300), "g1");
     CHECK(checker.violations().empty());
 }
+
+TEST_CASE(
+    "[GIVEN] a request that crashes upstreams [WHEN] it arrives more than three times after the third crash "
+    "was known [THEN] the checker reports it",
+    "[soak]")
+{
+    arrival_checker checker({});
+    const auto arrive_once = [&checker](int ms, const std::string& gateway) {
+        const auto id = "crash-" + std::to_string(ms);
+        checker.on_sent(at(ms), id, "s1", gateway);
+        checker.on_crashing_request(id, "/crash");
+        checker.on_arrival(at(ms + 5), id, "u" + std::to_string(ms), "s1");
+        checker.on_crash(at(ms + 60), "/crash");
+    };
+    for (const int ms : {0, 200, 400, 600, 3000, 3459}) {
+        arrive_once(ms, "g1");
+    }
+    for (const int ms : {3470, 4000, 5000}) {
+        arrive_once(ms, "g1");
+    }
+    CHECK(checker.violations().empty());
+    checker.on_gateway_fault(at(5500), at(6500), "g2");
+    arrive_once(6000, "g2");
+    CHECK(checker.violations().empty());
+    arrive_once(6100, "g1");
+    CHECK(checker.violations().size() == 1);
+}
--- /dev/null
+++ b/tools/soak/tests/crash_deployment.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "arrival_checker.h"
+#include "gateway_process.h"
+#include "guarantee_checker.h"
+#include "http/http_client.h"
+#include "platform_messages.h"
+
+namespace buckthornhill::soak {
+//! How the requests of one kind ended.
+struct outcome_counts
+{
+    int sent = 0;
+    int served = 0;
+    int refused = 0;
+};
+
+//! Gateways as processes and upstreams of one service that some requests crash. Each upstream is back some
+//! seconds after its end, under a new id. Other callers go on sending requests that are harmless.
+class crash_deployment
+{
+public:
+    explicit crash_deployment(std::size_t gateways);
+    ~crash_deployment();
+    crash_deployment(const crash_deployment&) = delete;
+    crash_deployment& operator=(const crash_deployment&) = delete;
+
+    //! Upstreams end while they run this request, which may or may not be repeated.
+    void add_crashing_request(const std::string& name, bool may_repeat);
+    //! Sends each crashing request `copies` times at once, to different gateways, every `interval`.
+    void send_crashing_requests(std::chrono::milliseconds interval, std::size_t copies);
+    void stop_crashing_requests() { this->is_crashing = false; }
+    //! From now on upstreams end by themselves, one after the other.
+    void crash_upstreams_at_random(std::chrono::milliseconds interval);
+    void run_for(std::chrono::milliseconds time);
+    //! Requests that are sent from now on count in `harmless`.
+    void reset_counts() { this->counts = {}; }
+
+    //! Harmless requests, all repeatable ones of which come again and again.
+    const outcome_counts& harmless() const { return this->counts; }
+    std::size_t crash_count() const { return this->crashes; }
+    std::size_t arrivals_of(const std::string& name) const;
+    //! Violations that the arrivals at the upstreams show.
+    std::vector<std::string> violations() const;
+    //! Fingerprints in the lines with this event in the logs of all gateways.
+    std::multiset<std::string> logged_fingerprints(const std::string& event) const;
+    std::string fingerprint_of_crashing(const std::string& name) const;
+
+private:
+    struct crashing_request
+    {
+        std::string method;
+        std::string target;
+        std::string body;
+    };
+    using action = std::function<void()>;
+
+    void run_after(std::chrono::milliseconds time, action callback);
+    void add_upstream(std::size_t domain);
+    void on_crash(const std::string& upstream, std::size_t domain);
+    void send_crashing(std::chrono::milliseconds interval, std::size_t copies);
+    void crash_next(std::chrono::milliseconds interval);
+    void send_harmless(std::size_t caller);
+    void send(const http::http_request& request, const std::string& id, std::size_t gateway,
+              std::function<void(const http::call_result&)> handler);
+
+    boost::asio::io_context context;
+    platform::standins::platform_store store;
+    std::vector<platform::standins::upstream_run> runs;
+    std::list<std::unique_ptr<platform::standins::platform_upstream>> upstreams;
+    std::vector<std::unique_ptr<gateway_process>> gateways;
+    http::http_client client;
+    arrival_checker checker{arrival_bounds{}};
+    std::map<std::string, crashing_request> crashing; //!< by name
+    outcome_counts counts;
+    std::uint64_t last_id = 0;
+    std::uint64_t last_upstream = 0;
+    std::size_t crashes = 0;
+    bool is_crashing = false;
+    bool is_over = false;
+};
+} // namespace buckthornhill::soak
