Stop requests that crash upstreams, at all instances together

Now the requests that are in progress when an upstream ends are suspected, by fingerprint. A lost connection is no crash: connects must be refused, or another run must answer or register at the address. What completed within the last five seconds, or completes anywhere, is innocent. The notes go to a few registrars, one in each region and one in the own failure domain, which all instances choose alike by rendezvous hashing; the third end quarantines the request, and the registrar tells all instances at once. Heartbeats repeat it for those that missed it. A request that an ended upstream may not have finished is held until the registrars have answered (150 ms at most) and is not repeated when another end is known. A suspect of two ends, and one whose quarantine is over, runs one at a time, by permission of the first registrar. A quarantined request is refused with 503 and the time that is left: it has not been sent. The tables are bounded; those with the fewest ends go first.

src/quarantine decides this for both programs now. In the other one a completion clears a quarantined request too.

--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -53,22 +53,10 @@
                    })
     , pause_monitor(min_reported_pause)
 {
-    peer_gossip::hooks peer_hooks;
-    peer_hooks.on_collection = [this](const store::collection_update& update) {
-        this->on_collection(update);
-    };
-    peer_hooks.on_peer_ahead = [this](store::collection which) { this->on_peer_ahead(which); };
-    peer_hooks.on_members_changed = [this] { this->on_members_changed(); };
-    peer_hooks.on_unhandled_request = [this](const http::exchange_ptr& exchange) {
-        if (!store_relay::is_follower_call(exchange->request().target)) {
-            return false;
-        }
-        this->relay->on_follower_call(now(), exchange);
-        return true;
-    };
     this->relay = this->make_relay(context);
-    this->peers =
-        std::make_unique<peer_gossip>(context, initial_settings, this->view, random, std::move(peer_hooks));
+    this->crashes = std::make_unique<crash_exchange>(context, initial_settings, this->core.suspects(),
+                                                     [this] { return this->peers->live_members(); });
+    this->peers = this->make_gossip(context, random);
     this->caller_server = std::make_unique<http::http_server>(
         context, initial_settings.caller_endpoint, caller_limits_of(initial_settings, {}),
         [this](const http::exchange_ptr& exchange) { this->on_caller(exchange); });
@@ -104,6 +92,31 @@
     return std::make_unique<store_relay>(context, this->settings, this->view, std::move(hooks));
 }
 
+std::unique_ptr<peer_gossip> gateway_engine::make_gossip(boost::asio::io_context& context,
+                                                         const random_hook& random)
+{
+    peer_gossip::hooks hooks;
+    hooks.on_collection = [this](const store::collection_update& update) { this->on_collection(update); };
+    hooks.on_peer_ahead = [this](store::collection which) { this->on_peer_ahead(which); };
+    hooks.on_members_changed = [this] { this->on_members_changed(); };
+    hooks.quarantined = [this] { return this->core.suspects().quarantined(now()); };
+    hooks.on_quarantined = [this](const std::vector<quarantine::suspect_report>& reports) {
+        this->crashes->on_reports(now(), reports);
+    };
+    hooks.on_unhandled_request = [this](const http::exchange_ptr& exchange) {
+        if (crash_exchange::is_crash_call(exchange->request().target)) {
+            this->crashes->on_call(now(), exchange);
+            return true;
+        }
+        if (store_relay::is_follower_call(exchange->request().target)) {
+            this->relay->on_follower_call(now(), exchange);
+            return true;
+        }
+        return false;
+    };
+    return std::make_unique<peer_gossip>(context, this->settings, this->view, random, std::move(hooks));
+}
+
 void gateway_engine::start()
 {
     this->timer->start();
@@ -163,6 +176,7 @@
     this->metrics.set_gauge("live_instances", static_cast<double>(this->peers->live_count()));
     this->metrics.set_gauge("requests_in_progress", static_cast<double>(this->core.flow_count()));
     this->metrics.set_gauge("requests_waiting", static_cast<double>(this->core.waiting_count()));
+    this->metrics.set_gauge("crash_suspects", static_cast<double>(this->core.suspects().suspect_count()));
     this->metrics.set_gauge("upstreams_known", static_cast<double>(this->core.upstreams().size()));
 }
 
@@ -378,6 +392,36 @@
         log::event("upstreams", "ended", {{"run", run.str()}, {"evidence", evidence}});
     }
     this->metrics.on_connection_lost(has_ended);
+    this->core.on_upstream_checked(now(), run, has_ended);
+    this->run_actions();
+}
+
+void gateway_engine::run(const proxy::request_permission_action& action)
+{
+    this->crashes->ask_permission(now(), action.request_fingerprint,
+                                  [this, flow = action.flow](bool is_granted) {
+                                      this->core.on_permission(now(), flow, is_granted);
+                                      this->run_actions();
+                                  });
+}
+
+void gateway_engine::run(const proxy::report_crashes_action& action)
+{
+    boost::json::array prints;
+    for (const auto& note : action.notes) {
+        prints.emplace_back(note.request_fingerprint.str());
+    }
+    log::event("quarantine", "crash", {{"run", action.run.str()}, {"fingerprints", std::move(prints)}});
+    this->crashes->announce_quarantines();
+    this->crashes->report(action.notes, [this, run = action.run] {
+        this->core.on_crashes_reported(now(), run);
+        this->run_actions();
+    });
+}
+
+void gateway_engine::run(const proxy::clear_suspect_action& action)
+{
+    this->crashes->clear(action.known);
 }
 
 void gateway_engine::run(const proxy::cancel_attempt_action& action)
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "gateway/crash_exchange.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_dialect.h"
 #include "gateway/gateway_flow.h"
@@ -80,6 +81,7 @@
     void on_members_changed();
     void on_peer_ahead(store::collection which);
     std::unique_ptr<store_relay> make_relay(boost::asio::io_context& context);
+    std::unique_ptr<peer_gossip> make_gossip(boost::asio::io_context& context, const random_hook& random);
     void check_for_pause(time_point now);
     void advance_leave(time_point now);
     bool is_serving() const;
@@ -92,6 +94,9 @@
     void run(const proxy::no_route_action& action);
     void run(const proxy::fail_action& action);
     void run(const proxy::signal_changed_action& action);
+    void run(const proxy::request_permission_action& action);
+    void run(const proxy::report_crashes_action& action);
+    void run(const proxy::clear_suspect_action& action);
     request_completion completion_of(const gateway_flow& flow, const std::string& outcome,
                                      const std::string& reason, unsigned status) const;
     void respond(flow_id flow, http::http_response response, const std::string& outcome,
@@ -108,6 +113,7 @@
     upstream_end_detector end_detector;
     std::unique_ptr<peer_gossip> peers;
     std::unique_ptr<store_relay> relay;
+    std::unique_ptr<crash_exchange> crashes;
     std::unique_ptr<http::http_server> caller_server;
     std::unique_ptr<http::http_server> lookup_server;
     std::unique_ptr<http::http_server> readiness_server;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -38,7 +38,8 @@
                              .Register(registry))
         , gauges(prometheus::BuildGauge()
                      .Name("buckthornhill_gateway_state")
-                     .Help("Live instances, requests in progress, requests waiting, upstreams known.")
+                     .Help("Live instances, requests in progress, requests waiting, upstreams known, crash "
+                           "suspects.")
                      .Register(registry))
     {
     }
--- a/src/gateway/gateway_translation.cpp
+++ b/src/gateway/gateway_translation.cpp
@@ -52,6 +52,8 @@
         outcome.status = proxy::transport_status::timed_out;
         return outcome;
     case http::call_status::broken:
+        outcome.is_connection_lost = true;
+        return outcome;
     case http::call_status::cancelled:
         return outcome;
     }
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -144,7 +144,7 @@
 
 peer_heartbeat peer_gossip::own_heartbeat()
 {
-    return {this->members.next_brief_gossip(), this->view.changed_versions()};
+    return {this->members.next_brief_gossip(), this->view.changed_versions(), this->callbacks.quarantined()};
 }
 
 void peer_gossip::send_heartbeat(time_point now, const instance_id& peer)
@@ -181,6 +181,9 @@
         this->callbacks.on_members_changed();
     }
     this->record_lags(now, heartbeat);
+    if (!heartbeat.quarantined.empty()) {
+        this->callbacks.on_quarantined(heartbeat.quarantined);
+    }
 }
 
 void peer_gossip::record_lags(time_point now, const peer_heartbeat& heartbeat)
--- a/src/gateway/peer_gossip.h
+++ b/src/gateway/peer_gossip.h
@@ -30,6 +30,9 @@
         //! A peer has a newer version of this collection although this instance has contact with the store.
         std::function<void(store::collection)> on_peer_ahead;
         std::function<void()> on_members_changed;
+        //! Requests that are quarantined, for heartbeats.
+        std::function<std::vector<quarantine::suspect_report>()> quarantined;
+        std::function<void(const std::vector<quarantine::suspect_report>&)> on_quarantined;
         //! Passes on a request that is not handled here; returns whether the receiver responds to it.
         std::function<bool(const http::exchange_ptr&)> on_unhandled_request;
     };
@@ -54,6 +57,7 @@
     void on_pause(time_point now) { this->members.restart_timeouts(now); }
 
     std::size_t live_count() const { return this->members.live_members().size(); }
+    std::vector<membership::member_description> live_members() const { return this->members.live_members(); }
     //! This instance and all others that the store's list or a peer named and that are not gone.
     std::vector<placement::known_instance> known_instances() const;
     std::vector<instance_id> live_in_domain() const;
--- a/src/gateway/peer_message_codec.cpp
+++ b/src/gateway/peer_message_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include "gateway/crash_message_codec.h"
 #include "gateway/gateway_errors.h"
 #include "http/http_types.h"
 #include "store/store_errors.h"
@@ -134,8 +135,11 @@
     for (const auto& [which, version] : heartbeat.changed_at) {
         versions[store::to_string(which)] = version.value();
     }
-    return json::serialize(
-        json::object{{"members", std::move(members)}, {"changed_at", std::move(versions)}});
+    json::object root{{"members", std::move(members)}, {"changed_at", std::move(versions)}};
+    if (!heartbeat.quarantined.empty()) {
+        root["quarantined"] = encode_suspect_reports(heartbeat.quarantined);
+    }
+    return json::serialize(root);
 }
 
 peer_heartbeat decode_peer_heartbeat(const std::string& text)
@@ -150,6 +154,9 @@
             heartbeat.changed_at[store::parse_collection(name)] =
                 object_version(version.to_number<std::uint64_t>());
         }
+        if (const auto* quarantined = root.if_contains("quarantined")) {
+            heartbeat.quarantined = decode_suspect_reports(quarantined->as_array());
+        }
         return heartbeat;
     });
 }
--- a/src/gateway/peer_message_codec.h
+++ b/src/gateway/peer_message_codec.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "membership/membership_types.h"
+#include "quarantine/quarantine_types.h"
 #include "store/collection_types.h"
 
 namespace buckthornhill::gateway {
@@ -14,6 +15,7 @@
 {
     membership::gossip members; //!< the sender's own record first
     std::map<store::collection, object_version> changed_at;
+    std::vector<quarantine::suspect_report> quarantined; //!< requests that crash upstreams
 };
 
 //! Response of an instance that watches the store to a follower.
--- a/src/gateway/tests/peer_message_codec_tests.cpp
+++ b/src/gateway/tests/peer_message_codec_tests.cpp
@@ -113,15 +113,15 @@
     for (const auto* address : {"nowhere", "10.0.0.1", "10.0.0.1:x", "host:80", ""}) {
         auto member = make_member();
         member.peer_address = address;
-        CHECK_THROWS_AS(
-            decode_peer_heartbeat(encode_peer_heartbeat({{{member, membership::member_state::live, 9}}, {}})),
-            gateway_error);
+        CHECK_THROWS_AS(decode_peer_heartbeat(
+                            encode_peer_heartbeat({{{member, membership::member_state::live, 9}}, {}, {}})),
+                        gateway_error);
         CHECK_THROWS_AS(decode_registration(encode_registration(member)), gateway_error);
         member = make_member();
         member.caller_address = address;
-        CHECK_THROWS_AS(
-            decode_peer_heartbeat(encode_peer_heartbeat({{{member, membership::member_state::live, 9}}, {}})),
-            gateway_error);
+        CHECK_THROWS_AS(decode_peer_heartbeat(
+                            encode_peer_heartbeat({{{member, membership::member_state::live, 9}}, {}, {}})),
+                        gateway_error);
     }
 }
 
--- a/src/node/request_coordinator.cpp
+++ b/src/node/request_coordinator.cpp
@@ -12,6 +12,12 @@
 using requests::ticket_state;
 
 namespace {
+//! Upstreams of this program do not start again under the same id.
+upstream_run run_of(const upstream_id& upstream)
+{
+    return upstream_run(upstream.str());
+}
+
 //! An idempotent request is retried at another owner after this multiple of the expected response time.
 constexpr int late_response_factor = 4;
 constexpr std::chrono::milliseconds min_late_response_time{60};
@@ -154,7 +160,8 @@
         flow.tried_owners.insert(this->self);
         flow.last_refusal_reason = refusal_reason::resynchronizing;
     }
-    if (this->components.crashes.state_of(flow.facts.request_fingerprint) == quarantine_state::quarantined) {
+    if (this->components.crashes.state_of(now, flow.facts.request_fingerprint) ==
+        quarantine_state::quarantined) {
         this->finish(id, outcome::not_executed, refusal_reason::quarantined, {}, nullptr);
         return;
     }
@@ -184,7 +191,7 @@
 steering::steering_choice request_coordinator::pick_owner(time_point now, const request_flow& flow)
 {
     const auto& facts = flow.facts;
-    if (this->components.crashes.state_of(facts.request_fingerprint) == quarantine_state::suspected) {
+    if (this->components.crashes.state_of(now, facts.request_fingerprint) == quarantine_state::suspected) {
         const auto owner = this->trial_owner(flow);
         return flow.tried_owners.contains(owner) ? steering::steering_choice{}
                                                  : steering::steering_choice{owner, false};
@@ -255,7 +262,7 @@
         this->finish(facts.flow, outcome::not_executed, refusal_reason::resynchronizing, {}, nullptr);
         return;
     }
-    if (this->components.crashes.state_of(facts.request_fingerprint) == quarantine_state::quarantined) {
+    if (this->components.crashes.state_of(now, facts.request_fingerprint) == quarantine_state::quarantined) {
         this->finish(facts.flow, outcome::not_executed, refusal_reason::quarantined, {}, nullptr);
         return;
     }
@@ -266,9 +273,9 @@
 {
     const auto& facts = flow.facts;
     const bool is_suspect =
-        this->components.crashes.state_of(facts.request_fingerprint) == quarantine_state::suspected;
+        this->components.crashes.state_of(now, facts.request_fingerprint) == quarantine_state::suspected;
     if (is_suspect && !flow.is_on_trial) {
-        if (!this->components.crashes.begin_trial(facts.request_fingerprint)) {
+        if (!this->components.crashes.begin_trial(now, facts.request_fingerprint)) {
             this->on_owner_refused(now, flow, refusal_reason::quarantined, std::chrono::milliseconds(500));
             return;
         }
@@ -360,7 +367,7 @@
             break;
         }
         if (this->components.crashes.on_completed(flow->facts.request_fingerprint)) {
-            this->unsent_notes.push_back({flow->facts.request_fingerprint, flow->upstream, true});
+            this->unsent_notes.push_back({flow->facts.request_fingerprint, run_of(flow->upstream), {}, true});
         }
         this->finish(id, outcome::done, refusal_reason::none, {}, result.upstream_response);
         break;
@@ -396,7 +403,7 @@
     for (const auto other : this->flows_at_upstream[flow.upstream]) {
         in_flight.push_back(this->flows.at(other).facts.request_fingerprint);
     }
-    for (const auto& note : this->components.crashes.on_crash(now, flow.upstream, in_flight)) {
+    for (const auto& note : this->components.crashes.on_crash(now, run_of(flow.upstream), in_flight)) {
         this->unsent_notes.push_back(note);
     }
     //! NOTE The response is held until the peers have the crash notes, so that any instance recognizes a
--- a/src/peers/heartbeat_codec.cpp
+++ b/src/peers/heartbeat_codec.cpp
@@ -129,7 +129,7 @@
     for (const auto& note : notes) {
         array.push_back({{"print", note.request_fingerprint.high_bits()},
                          {"print_low", note.request_fingerprint.low_bits()},
-                         {"upstream", note.upstream.str()},
+                         {"upstream", note.run.str()},
                          {"cleared", note.is_cleared}});
     }
     return array;
@@ -157,7 +157,7 @@
 {
     //! NOTE Instances of an earlier version send only one half.
     const fingerprint print(reader.unsigned_integer("print"), reader.unsigned_integer_or("print_low", 0));
-    return {print, upstream_id(reader.text("upstream")), reader.flag_or("cleared", false)};
+    return {print, upstream_run(reader.text("upstream")), {}, reader.flag_or("cleared", false)};
 }
 
 heartbeat read_heartbeat(std::string_view body)
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -42,6 +42,8 @@
         return "deadline-passed";
     case refusal_reason::paused:
         return "paused";
+    case refusal_reason::quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
@@ -67,6 +69,7 @@
     , random(std::move(random_source))
     , roster(fleet::roster_configuration{})
     , picker(std::move(self), std::move(where), settings.placement)
+    , crashes(settings.quarantine)
 {
 }
 
@@ -145,6 +148,11 @@
 
 void proxy_core::dispatch(time_point now, proxy_flow& flow)
 {
+    if (this->crashes.admission_of(now, flow.facts.request_fingerprint) ==
+        quarantine::crash_watch::admission::quarantined) {
+        this->refuse(now, flow, refusal_reason::quarantined);
+        return;
+    }
     const bool may_wait = flow.step == flow_step::waiting && flow.queue_deadline > now;
     flow.choice = this->picker.pick(now, this->roster, flow.requirements);
     if (flow.choice.upstream.empty()) {
@@ -162,7 +170,9 @@
         return;
     }
     if (flow.choice.has_room) {
-        this->send(now, flow);
+        if (this->is_admitted(now, flow)) {
+            this->send(now, flow);
+        }
         return;
     }
     if (!may_wait) {
@@ -183,9 +193,10 @@
     }
     flow.step = flow_step::at_upstream;
     flow.sent_at = now;
+    flow.run = known->entry.run();
     ++flow.attempt;
-    this->outbox.push_back(start_attempt_action{flow.facts.flow, flow.attempt, flow.choice.upstream,
-                                                known->entry.run(), known->entry.address, flow.deadline,
+    this->outbox.push_back(start_attempt_action{flow.facts.flow, flow.attempt, flow.choice.upstream, flow.run,
+                                                known->entry.address, flow.deadline,
                                                 flow.repeats == repeat_rule::at_most_once});
 }
 
@@ -217,12 +228,18 @@
         ++flow.upstreams_reached;
         this->on_not_run(now, flow, outcome);
     } else if (outcome.status == transport_status::complete && !outcome.is_server_failure) {
+        this->on_request_completed(now, flow);
         this->outbox.push_back(deliver_action{id, attempt});
         this->finish(id);
     } else {
         ++flow.upstreams_reached;
         flow.may_have_run = true;
-        this->on_may_have_run(now, flow, outcome);
+        if (outcome.status == transport_status::complete) {
+            this->on_request_completed(now, flow);
+        }
+        if (!outcome.is_connection_lost || !this->hold_for_verdict(now, flow)) {
+            this->on_may_have_run(now, flow, outcome);
+        }
     }
     this->dispatch_waiting(now);
 }
@@ -308,7 +325,7 @@
         return;
     }
     auto& flow = found->second;
-    if (flow.step == flow_step::waiting) {
+    if (flow.step != flow_step::at_upstream) {
         this->waiting.remove(flow.requirements.priority, flow.arrived_at, id);
         this->finish(id);
         return;
@@ -328,6 +345,8 @@
 {
     this->roster.on_tick(now);
     this->picker.on_tick(now, this->roster);
+    this->crashes.on_tick(now);
+    this->check_held(now);
     this->dispatch_waiting(now);
 }
 
@@ -357,8 +376,12 @@
     }
 }
 
-duration proxy_core::retry_after(const proxy_flow& flow, refusal_reason reason)
+duration proxy_core::retry_after(time_point now, const proxy_flow& flow, refusal_reason reason)
 {
+    if (reason == refusal_reason::quarantined) {
+        return std::max<duration>(this->configuration.suspect_retry_after,
+                                  this->crashes.quarantine_left(now, flow.facts.request_fingerprint));
+    }
     if (reason == refusal_reason::no_configuration || reason == refusal_reason::no_upstream) {
         return this->configuration.startup_retry_after;
     }
@@ -377,7 +400,7 @@
         this->fail(flow, now >= flow.deadline);
         return;
     }
-    this->outbox.push_back(refuse_action{flow.facts.flow, reason, this->retry_after(flow, reason)});
+    this->outbox.push_back(refuse_action{flow.facts.flow, reason, this->retry_after(now, flow, reason)});
     this->finish(flow.facts.flow);
 }
 
@@ -389,6 +412,7 @@
 
 void proxy_core::finish(flow_id id)
 {
+    this->held.erase(id);
     this->flows.erase(id);
 }
 } // namespace buckthornhill::proxy
--- a/src/proxy/proxy_core.h
+++ b/src/proxy/proxy_core.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "proxy/retry_limiter.h"
 #include "proxy/service_rotation.h"
 #include "proxy/waiting_requests.h"
+#include "quarantine/crash_watch.h"
 #include "routing/route_table.h"
 
 namespace buckthornhill::proxy {
@@ -25,6 +27,11 @@
     void on_request(time_point now, const request_facts& facts);
     void on_attempt_outcome(time_point now, flow_id flow, std::uint64_t attempt,
                             const attempt_outcome& outcome);
+    //! To be called when it is known whether the upstream of a lost connection has ended.
+    void on_upstream_checked(time_point now, const upstream_run& run, bool has_ended);
+    //! The other instances know of the end of this upstream, and this one knows what they do.
+    void on_crashes_reported(time_point now, const upstream_run& run);
+    void on_permission(time_point now, flow_id flow, bool is_granted);
     void on_cancelled(time_point now, flow_id flow);
     void on_tick(time_point now);
     //! The process was suspended: refuses the waiting requests, since their callers may have left long ago.
@@ -39,6 +46,8 @@
     bool on_configuration(routing::routing_configuration configuration);
     fleet::upstream_roster& upstreams() { return this->roster; }
     const fleet::upstream_roster& upstreams() const { return this->roster; }
+    quarantine::crash_watch& suspects() { return this->crashes; }
+    const quarantine::crash_watch& suspects() const { return this->crashes; }
     const routing::route_table& routes() const { return this->table; }
 
     std::vector<action> take_actions() { return std::exchange(this->outbox, {}); }
@@ -55,6 +64,15 @@
     void dispatch_waiting(time_point now);
     void on_not_run(time_point now, proxy_flow& flow, const attempt_outcome& outcome);
     void on_may_have_run(time_point now, proxy_flow& flow, const attempt_outcome& outcome);
+    //! Returns whether the request is held until `on_upstream_checked` or `on_crashes_reported`.
+    bool hold_for_verdict(time_point now, proxy_flow& flow);
+    //! Sends a request that was held again, or gives it up.
+    void release_held(time_point now, flow_id flow);
+    void release_held_at(time_point now, const upstream_run& run);
+    //! Refuses a quarantined request and asks for permission for a suspect; returns whether it may be sent.
+    bool is_admitted(time_point now, proxy_flow& flow);
+    void on_request_completed(time_point now, const proxy_flow& flow);
+    void check_held(time_point now);
     void apply_signals(time_point now, const upstream_id& upstream,
                        const placement::upstream_signals& signals);
     //! Returns whether the request may be sent to another upstream, and then counts a retry.
@@ -62,7 +80,7 @@
     void refuse(time_point now, const proxy_flow& flow, refusal_reason reason);
     void fail(const proxy_flow& flow, bool is_timeout);
     void finish(flow_id flow);
-    duration retry_after(const proxy_flow& flow, refusal_reason reason);
+    duration retry_after(time_point now, const proxy_flow& flow, refusal_reason reason);
 
     proxy_configuration configuration;
     random_hook random;
@@ -71,6 +89,8 @@
     placement::upstream_picker picker;
     service_rotation rotation;
     waiting_requests waiting;
+    quarantine::crash_watch crashes;
+    std::set<flow_id> held; //!< requests that wait for a verdict or a permission
     std::unordered_map<flow_id, proxy_flow> flows;
     std::map<service_id, retry_limiter> retry_limiters;
     std::size_t budget_instances = 1; //!< among which the retry budget is divided
--- a/src/proxy/proxy_flow.h
+++ b/src/proxy/proxy_flow.h
@@ -4,7 +4,12 @@
 #include "routing/routing_types.h"
 
 namespace buckthornhill::proxy {
-enum class flow_step { waiting, at_upstream };
+enum class flow_step {
+    waiting,
+    at_upstream,
+    awaiting_verdict,   //!< its connection was lost; whether it may be sent again is being found out
+    awaiting_permission //!< it is a suspect, and only one of these may run at a time
+};
 
 //! State of one request from its arrival to its response.
 struct proxy_flow
@@ -24,6 +29,9 @@
     int upstreams_reached = 0;
     int unsent_attempts = 0;
     bool may_have_run = false;
+    upstream_run run;            //!< that the current attempt was sent to
+    bool has_permission = false; //!< to run as the only one with its fingerprint
+    time_point hold_deadline{};  //!< of `awaiting_verdict` and `awaiting_permission`
     time_point sent_at;
 };
 } // namespace buckthornhill::proxy
--- a/src/proxy/proxy_types.h
+++ b/src/proxy/proxy_types.h
@@ -4,10 +4,12 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "global/ids.h"
 #include "global/units.h"
 #include "placement/placement_types.h"
+#include "quarantine/quarantine_types.h"
 
 //! State machine for the requests of callers to upstreams, without sockets or clocks. It takes events with
 //! their time and returns actions, so that the daemon and the tests run the same decisions.
@@ -27,6 +29,23 @@
     std::chrono::milliseconds max_retry_after{1000};
     //! When there is no configuration or no usable upstream.
     std::chrono::milliseconds startup_retry_after{300};
+    //! A request is refused after three crashes: upstreams end for other reasons too, and two of these may
+    //! well meet the same request.
+    quarantine::quarantine_configuration quarantine{.crashes_to_quarantine = 3,
+                                                    .crashes_to_run_singly = 2,
+                                                    .max_suspects = 4096,
+                                                    .suspect_lifetime = std::chrono::seconds(60),
+                                                    .first_quarantine = std::chrono::seconds(60),
+                                                    .max_quarantine = std::chrono::seconds(3600),
+                                                    .quarantine_growth = 4,
+                                                    .trial_limit = std::chrono::seconds(10),
+                                                    .completion_credit = std::chrono::milliseconds(5000)};
+    //! For which a request whose connection was lost is held until it is known whether the upstream has ended
+    //! and whether others ended under the same request: some round trips between regions.
+    std::chrono::milliseconds max_verdict_wait{150};
+    //! For the instance that permits the single runs of a suspect to respond.
+    std::chrono::milliseconds max_permission_wait{500};
+    std::chrono::milliseconds suspect_retry_after{1000}; //!< while another one with the same content runs
 };
 
 //! Properties of a request that the decisions depend on; headers and body stay in the I/O layer.
@@ -47,7 +66,8 @@
     no_upstream,      //!< no upstream of the service may receive the request
     overloaded,       //!< no upstream is expected to respond in time
     deadline_passed,  //!< before the request could be sent
-    paused            //!< this process was suspended while the request waited
+    paused,           //!< this process was suspended while the request waited
+    quarantined       //!< upstreams ended under requests with the same content
 };
 std::string_view to_string(refusal_reason reason);
 
@@ -95,6 +115,28 @@
     bool is_timeout = false;
 };
 
+//! Asks whether a suspect may run, of which only one may run at a time in the system. The answer goes to
+//! `on_permission`.
+struct request_permission_action
+{
+    flow_id flow;
+    fingerprint request_fingerprint;
+};
+
+//! An upstream ended while these requests were in progress there. Once the other instances know it,
+//! `on_crashes_reported` is due.
+struct report_crashes_action
+{
+    upstream_run run;
+    std::vector<quarantine::crash_note> notes;
+};
+
+//! A suspect completed.
+struct clear_suspect_action
+{
+    quarantine::suspect_report known;
+};
+
 enum class signal_change { leaving, limit_named, limit_over, paused };
 std::string_view to_string(signal_change change);
 
@@ -107,7 +149,8 @@
 };
 
 using action = std::variant<start_attempt_action, cancel_attempt_action, deliver_action, refuse_action,
-                            no_route_action, fail_action, signal_changed_action>;
+                            no_route_action, fail_action, signal_changed_action, request_permission_action,
+                            report_crashes_action, clear_suspect_action>;
 
 enum class transport_status {
     complete,
@@ -119,6 +162,8 @@
 struct attempt_outcome
 {
     transport_status status = transport_status::broken;
+    //! The connection was lost while the request was in progress, as happens when an upstream ends.
+    bool is_connection_lost = false;
     bool is_not_executed = false;               //!< the upstream reported that it did not run the request
     bool is_misdirected = false;                //!< the address belongs to another upstream now
     bool is_server_failure = false;             //!< a 5xx response
