Play requests that crash upstreams in the soak

The soak sends requests that end the upstream which runs them, one at a time or at several gateways at once, beside all other faults, and judges them as the rule does: no more than three arrivals later than stable_window after the third crash, but for gateways at fault. An upstream that ends now closes its address, as the end of a process does; its proxy went on listening before. A quarantined request that is not one of these is a violation, read from the gateways' logs.

--- a/tools/soak/loopback_proxy.cpp
+++ b/tools/soak/loopback_proxy.cpp
@@ -164,6 +164,11 @@
 }
 
 loopback_proxy::~loopback_proxy()
+{
+    this->close();
+}
+
+void loopback_proxy::close()
 {
     boost::system::error_code ignored;
     this->state->acceptor.close(ignored);
--- a/tools/soak/loopback_proxy.h
+++ b/tools/soak/loopback_proxy.h
@@ -35,6 +35,8 @@
     http::endpoint address() const;
     //! Bytes held back by `blackhole` or `block_responses` are delivered when the mode ends.
     void set_mode(proxy_mode mode);
+    //! Resets all connections and refuses new ones from now on.
+    void close();
 
 private:
     struct implementation;
--- a/tools/soak/soak_callers.cpp
+++ b/tools/soak/soak_callers.cpp
@@ -11,6 +11,7 @@
 constexpr milliseconds call_timeout{2400};   //!< how long the caller really waits
 constexpr milliseconds caller_pause{25};     //!< between a result and the next request of a caller
 constexpr int max_requests_per_gateway = 40; //!< upper bound of a random number of requests
+} // namespace
 
 request_outcome outcome_of(const http::http_request& request, const http::call_result& result)
 {
@@ -27,7 +28,6 @@
     }
     return answer.guarantees_not_executed ? request_outcome::refused : request_outcome::unknown;
 }
-} // namespace
 
 //! Chooses a random gateway that is running and not stopping, as callers learn from look-ups which gateways
 //! serve. A caller whose gateway is stopping stays until the connection ends.
--- a/tools/soak/soak_faults.cpp
+++ b/tools/soak/soak_faults.cpp
@@ -13,7 +13,6 @@
 constexpr milliseconds process_poll_interval{50}; //!< between checks whether processes have ended
 constexpr milliseconds drain_duration{3500};      //!< for which a leaving upstream continues to serve
 constexpr milliseconds limit_duration{9000};      //!< for which an upstream names a limit
-constexpr milliseconds registration_expiry{1500}; //!< until the registration of a crashed upstream is removed
 } // namespace
 
 void soak_run::inject_next_fault()
@@ -21,7 +20,7 @@
     if (this->is_injection_over) {
         return;
     }
-    switch (this->draw(5)) {
+    switch (this->draw(6)) {
     case 0:
         this->inject_process_fault();
         break;
@@ -31,6 +30,9 @@
     case 2:
         this->inject_store_fault();
         break;
+    case 3:
+        this->start_crashing_request();
+        break;
     default:
         this->inject_upstream_fault();
         break;
@@ -132,15 +134,9 @@
     auto chosen =
         std::next(this->upstreams.begin(), static_cast<std::ptrdiff_t>(this->draw(this->upstreams.size())));
     const auto id = chosen->upstream->id();
-    const auto service = chosen->upstream->service();
     if (this->draw(3) == 0 && !chosen->is_leaving) {
         ++this->event_counts["crash"];
-        chosen->is_leaving = true;
-        chosen->upstream->crash();
-        this->run_after(registration_expiry, [this, id, service] {
-            this->remove_upstream(id);
-            this->add_upstream(service);
-        });
+        this->end_upstream(id);
         return;
     }
     if (this->draw(4) == 0) {
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -56,6 +56,7 @@
             "seed = " + loopback_address_of(i) + ":" + std::to_string(gateway_process::peers_port) + "\n";
     }
     this->start_gateways(settings);
+    this->crash_client = std::make_unique<http::http_client>(this->context, http::client_limits{});
     this->callers.resize(run_options.callers);
     for (std::size_t i = 0; i < this->callers.size(); ++i) {
         this->callers[i].client = std::make_unique<http::http_client>(this->context, http::client_limits{});
@@ -67,6 +68,7 @@
     //! NOTE Pending operations must complete here, while the objects that they refer to still exist.
     this->gateways.clear();
     this->callers.clear();
+    this->crash_client.reset();
     this->store_proxies.clear();
     this->context.restart();
     this->context.poll();
@@ -136,6 +138,11 @@
     traits.service = service;
     traits.processing_time = request_work_time;
     traits.lost_per_hundred = 1;
+    traits.is_crashed_by = [this](const http::http_request& request) { return this->is_crashing(request); };
+    traits.on_crash = [this, id = traits.id](const http::http_request& request) {
+        this->arrivals.on_crash(now(), request.target);
+        this->end_upstream(id);
+    };
     const bool starts_during_run = !this->gateways.empty();
     if (starts_during_run) {
         traits.cold_time = cold_time;
@@ -215,6 +222,7 @@
                                           run.upstream);
         }
     }
+    this->check_quarantined_requests();
     auto violations = this->checker.violations();
     std::ranges::copy(this->arrivals.violations(), std::back_inserter(violations));
     return violations;
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -32,6 +32,8 @@
     std::string directory; //!< for settings files and logs
 };
 
+request_outcome outcome_of(const http::http_request& request, const http::call_result& result);
+
 //! One run: gateway processes, the platform's stand-ins, callers, and random faults drawn from the seed.
 class soak_run
 {
@@ -51,6 +53,7 @@
         std::unique_ptr<platform::standins::platform_upstream> upstream;
         std::unique_ptr<loopback_proxy> proxy;
         bool is_leaving = false;
+        bool has_ended = false;
         std::optional<time_point> limited_since; //!< its responses name `limit`
         double limit = 0;
     };
@@ -60,6 +63,13 @@
         std::size_t gateway = 0;
         int requests_left = 0; //!< before the caller chooses another gateway
     };
+    //! Ends the upstreams that run it.
+    struct crashing_request
+    {
+        std::string prefix; //!< of its route
+        std::string target;
+        bool may_repeat = false;
+    };
     using action = std::function<void()>;
 
     void start_gateways(const std::string& settings);
@@ -79,6 +89,13 @@
     void inject_store_path_fault();
     void inject_store_fault();
     void inject_upstream_fault();
+    void end_upstream(const std::string& id);
+    //! Callers begin to send a request that crashes upstreams, again and again and to several gateways.
+    void start_crashing_request();
+    void send_crashing_request(const crashing_request& request, std::uint64_t repeats_left,
+                               std::size_t copies);
+    bool is_crashing(const http::http_request& request) const;
+    void check_quarantined_requests();
     void stop_random_gateway();
     void drain_random_upstream();
     //! All upstreams of the service are warm and stay.
@@ -107,6 +124,8 @@
     std::vector<std::unique_ptr<loopback_proxy>> store_proxies; //!< one for each gateway
     std::vector<std::unique_ptr<gateway_process>> gateways;
     std::vector<soak_caller> callers;
+    std::unique_ptr<http::http_client> crash_client;
+    std::vector<crashing_request> crashing_requests; //!< so far
     std::map<std::string, int> event_counts;
     guarantee_checker checker{guarantee_bounds{}};
     arrival_checker arrivals{arrival_bounds{}};
