Do not blame a gateway for what a lost response said

Trace: the log of g0 has no line 'paused' for u5; its calls there timed out at that time, since the path to u5 held its responses back. The checker took each rejection that u5 recorded for one that the gateway had heard. It leaves out now what a response said while its path lost or held back all responses; delays and additional bytes excuse nothing. A unit test covers both sides.

--- a/tools/soak/arrival_checker.cpp
+++ b/tools/soak/arrival_checker.cpp
@@ -44,7 +44,7 @@
 void arrival_checker::on_limit_named(time_point at, const std::string& request, const std::string& upstream)
 {
     const auto known = this->sent.find(request);
-    if (known != this->sent.end()) {
+    if (known != this->sent.end() && !this->has_lost_response(upstream, at)) {
         this->limit_notices[{known->second.second, upstream}].push_back(at);
     }
 }
@@ -54,6 +54,19 @@
     this->gateway_faults[gateway].push_back({from, until});
 }
 
+void arrival_checker::on_responses_lost(time_point from, time_point until, const std::string& upstream)
+{
+    this->lost_responses[upstream].push_back({from, until});
+}
+
+bool arrival_checker::has_lost_response(const std::string& upstream, time_point at) const
+{
+    const auto found = this->lost_responses.find(upstream);
+    return found != this->lost_responses.end() &&
+           std::ranges::any_of(found->second,
+                               [at](const rate_period& lost) { return lost.from <= at && at <= lost.until; });
+}
+
 bool arrival_checker::is_limited(const std::string& upstream, const rate_period& period,
                                  const arrival& one) const
 {
@@ -81,7 +94,7 @@
 void arrival_checker::on_leaving_named(time_point at, const std::string& request, const std::string& upstream)
 {
     const auto known = this->sent.find(request);
-    if (known != this->sent.end()) {
+    if (known != this->sent.end() && !this->has_lost_response(upstream, at)) {
         this->leaving_notices[{known->second.second, upstream}].push_back(at);
     }
 }
@@ -90,7 +103,7 @@
                                      const std::string& upstream)
 {
     const auto known = this->sent.find(request);
-    if (known != this->sent.end()) {
+    if (known != this->sent.end() && !this->has_lost_response(upstream, at)) {
         this->pauses[{known->second.second, upstream}].emplace_back(at, until);
     }
 }
--- a/tools/soak/arrival_checker.h
+++ b/tools/soak/arrival_checker.h
@@ -61,6 +61,8 @@
     void on_crashing_request(const std::string& request, const std::string& content);
     //! A request with `content` has crashed an upstream.
     void on_crash(time_point at, const std::string& content);
+    //! Responses of this upstream were lost or held back, so that gateways do not know what they said.
+    void on_responses_lost(time_point from, time_point until, const std::string& upstream);
     //! The gateway restarted or froze, or was cut off, from `from` to `until`, which excuses it from the
     //! limits.
     void on_gateway_fault(time_point from, time_point until, const std::string& gateway);
@@ -93,6 +95,7 @@
     void check_leaving(std::vector<std::string>& found) const;
     void check_pauses(std::vector<std::string>& found) const;
     void check_crashes(std::vector<std::string>& found) const;
+    bool has_lost_response(const std::string& upstream, time_point at) const;
     bool is_excused(const std::string& gateway, time_point from, time_point until) const;
     //! The request counts for the limit: its gateway knew of it and is not excused.
     bool is_limited(const std::string& upstream, const rate_period& period, const arrival& one) const;
@@ -109,7 +112,8 @@
     //! Begin and end, by gateway and upstream.
     std::map<std::pair<std::string, std::string>, std::vector<std::pair<time_point, time_point>>> pauses;
     std::map<std::string, std::vector<rate_period>> gateway_faults;
-    std::map<std::string, std::string> crashing_content; //!< by request
-    std::map<std::string, time_points> crashes;          //!< by content
+    std::map<std::string, std::vector<rate_period>> lost_responses; //!< by upstream
+    std::map<std::string, std::string> crashing_content;            //!< by request
+    std::map<std::string, time_points> crashes;                     //!< by content
 };
 } // namespace buckthornhill::soak
--- a/tools/soak/soak_faults.cpp
+++ b/tools/soak/soak_faults.cpp
@@ -152,7 +152,13 @@
     const auto duration = this->draw_duration(200, 2000);
     const auto start = std::chrono::steady_clock::now();
     this->checker.on_upstream_fault(start, start + duration, id);
-    chosen->proxy->set_mode(modes[this->draw(modes.size())]);
+    const auto mode = modes[this->draw(modes.size())];
+    chosen->proxy->set_mode(mode);
+    const bool loses_responses =
+        mode != proxy_mode::delay && mode != proxy_mode::add_refusals && mode != proxy_mode::repeat_responses;
+    if (loses_responses) {
+        this->arrivals.on_responses_lost(start, start + duration, id);
+    }
     this->run_after(duration, [this, id] {
         if (auto* proxied = this->find_upstream(id)) {
             proxied->proxy->set_mode(proxy_mode::pass);
--- a/tools/soak/tests/arrival_checker_tests.cpp
+++ b/tools/soak/tests/arrival_checker_tests.cpp
@@ -133,3 +133,20 @@
     arrive_once(6100, "g1");
     CHECK(checker.violations().size() == 1);
 }
+
+//! Guards against a gateway that is blamed for a rejection which never reached it.
+TEST_CASE("[GIVEN] an upstream whose responses are lost [WHEN] it turns requests away meanwhile [THEN] "
+          "requests in the "
+          "pause are no violation, and after the loss they are",
+          "[soak]")
+{
+    arrival_checker checker({});
+    checker.on_responses_lost(at(0), at(1000), "u1");
+    arrive(checker, 0, 10);
+    checker.on_turned_away(at(5), at(2000), "u1-1", "u1");
+    arrive(checker, 800, 20);
+    CHECK(checker.violations().empty());
+    checker.on_turned_away(at(1001), at(3000), "u1-1", "u1");
+    arrive(checker, 2000, 20);
+    CHECK(checker.violations().size() == 1);
+}
