--- a/tools/soak/tests/crash_deployment.cpp
+++ b/tools/soak/tests/crash_deployment.cpp
@@ -187,6 +187,29 @@
     this->run_after(interval, [this, interval, copies] { this->send_crashing(interval, copies); });
 }
 
+bool crash_deployment::is_refused_by(std::size_t gateway, const std::string& name)
+{
+    const auto& one = this->crashing.at(name);
+    const auto id = name + "-" + std::to_string(++this->last_id);
+    auto request = make_request(one.method, one.target, id, announced_wait);
+    request.body = one.body;
+    this->checker.on_crashing_request(id, one.target);
+    bool is_refused = false;
+    this->send(request, id, gateway, [this, &is_refused, request](const http::call_result& result) {
+        is_refused = result.status == http::call_status::complete &&
+                     read_caller_response(request, result.response).guarantees_not_executed;
+        this->context.stop();
+    });
+    this->run_for(call_timeout);
+    return is_refused;
+}
+
+void crash_deployment::restart(std::size_t gateway)
+{
+    this->gateways[gateway]->kill();
+    this->gateways[gateway]->start();
+}
+
 void crash_deployment::send_harmless(std::size_t caller)
 {
     const bool may_repeat = caller % 2 == 0;
@@ -245,4 +268,22 @@
     }
     return found;
 }
+
+std::vector<milliseconds> crash_deployment::logged_times(const std::string& event) const
+{
+    const std::regex pattern("\"time_ms\":([0-9]+).*\"event\":\"" + event + "\"");
+    std::vector<milliseconds> times;
+    for (const auto& gateway : this->gateways) {
+        std::ifstream log(gateway->log_path());
+        for (std::string line; std::getline(log, line);) {
+            std::smatch match;
+            if (std::regex_search(line, match, pattern)) {
+                times.emplace_back(std::stoll(match[1]));
+                break;
+            }
+        }
+    }
+    std::ranges::sort(times);
+    return times;
+}
 } // namespace buckthornhill::soak
--- a/tools/soak/tests/crash_deployment.h
+++ b/tools/soak/tests/crash_deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <csignal>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -39,6 +40,11 @@
     void add_crashing_request(const std::string& name, bool may_repeat);
     //! Sends each crashing request `copies` times at once, to different gateways, every `interval`.
     void send_crashing_requests(std::chrono::milliseconds interval, std::size_t copies);
+    //! Sends it once to this gateway and waits for the response; returns whether it was refused as not run.
+    bool is_refused_by(std::size_t gateway, const std::string& name);
+    void pause(std::size_t gateway) { this->gateways[gateway]->signal(SIGSTOP); }
+    void resume(std::size_t gateway) { this->gateways[gateway]->signal(SIGCONT); }
+    void restart(std::size_t gateway);
     void stop_crashing_requests() { this->is_crashing = false; }
     //! From now on upstreams end by themselves, one after the other.
     void crash_upstreams_at_random(std::chrono::milliseconds interval);
@@ -54,6 +60,8 @@
     std::vector<std::string> violations() const;
     //! Fingerprints in the lines with this event in the logs of all gateways.
     std::multiset<std::string> logged_fingerprints(const std::string& event) const;
+    //! When the first line with this event was written, for each gateway that has one; sorted.
+    std::vector<std::chrono::milliseconds> logged_times(const std::string& event) const;
     std::string fingerprint_of_crashing(const std::string& name) const;
 
 private:
--- a/tools/soak/tests/crashing_request_tests.cpp
+++ b/tools/soak/tests/crashing_request_tests.cpp
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <iostream>
 
 #include <catch2/catch.hpp>
@@ -49,6 +50,33 @@
     CHECK(deployment.harmless().served * 10 >= deployment.harmless().sent * 9);
 }
 
+//! Guards against a quarantine that instances do not know which were away when it began.
+TEST_CASE("[GIVEN] a quarantined request [WHEN] an instance that was paused and one that has started are "
+          "asked for it "
+          "[THEN] both refuse it after a stable window",
+          "[gateway process][quarantine spreads]")
+{
+    constexpr std::size_t paused = 4;
+    constexpr std::size_t restarted = 5;
+    crash_deployment deployment(6);
+    deployment.add_crashing_request("crash-read", true);
+    deployment.pause(paused);
+    for (std::size_t i = 0; deployment.crash_count() < 3; ++i) {
+        REQUIRE(i < 10);
+        deployment.is_refused_by(i % paused, "crash-read");
+    }
+    CHECK(deployment.is_refused_by(0, "crash-read"));
+    deployment.restart(restarted);
+    deployment.resume(paused);
+    constexpr seconds stable_window{3};
+    deployment.run_for(stable_window);
+    const auto crashes = deployment.crash_count();
+    CHECK(deployment.is_refused_by(paused, "crash-read"));
+    CHECK(deployment.is_refused_by(restarted, "crash-read"));
+    CHECK(deployment.crash_count() == crashes);
+    print(deployment);
+}
+
 //! Guards against innocent requests that are stopped because upstreams end for another reason.
 TEST_CASE("[GIVEN] upstreams that end by themselves [WHEN] the same requests are in progress at many of them "
           "[THEN] no request is stopped",
@@ -62,3 +90,26 @@
     CHECK(deployment.harmless().served * 10 >= deployment.harmless().sent * 9);
     CHECK(deployment.violations().empty());
 }
+
+//! Started by hand: measures until when all instances know.
+TEST_CASE("[GIVEN] a large fleet [WHEN] a request is quarantined [THEN] all instances know in time",
+          "[.][large fleet]")
+{
+    const auto* text = std::getenv("BTH_GATEWAYS");
+    const std::size_t gateway_count = text == nullptr ? 91 : std::stoul(text);
+    crash_deployment deployment(gateway_count);
+    deployment.add_crashing_request("crash-read", true);
+    //! Until all instances know each other.
+    constexpr milliseconds settling_time_per_gateway{100};
+    deployment.run_for(gateway_count * settling_time_per_gateway);
+    deployment.send_crashing_requests(seconds(1), 1);
+    deployment.run_for(seconds(8));
+    print(deployment);
+    const auto times = deployment.logged_times("quarantined");
+    REQUIRE(times.size() == gateway_count);
+    const auto delay_of = [&times](std::size_t index) { return (times[index] - times.front()).count(); };
+    std::cout << "known by half of " << gateway_count << " instances after " << delay_of(gateway_count / 2)
+              << " ms, by all after " << delay_of(gateway_count - 1) << " ms\n";
+    constexpr int stable_window_ms = 3000;
+    CHECK(delay_of(gateway_count - 1) <= stable_window_ms);
+}
