--- a/src/operators/request_history.cpp
+++ b/src/operators/request_history.cpp
@@ -16,6 +16,7 @@
 //! A state change within this time before or after a request may have caused its outcome. Longer than the
 //! largest delay allowed until a change is in force.
 constexpr std::int64_t context_window_ms = 5000;
+constexpr std::string_view quarantine_part = "quarantine";
 constexpr std::array<std::string_view, 8> dependency_events{
     "paused", "leaving", "started", "store_lost", "store_in_contact", "watches_store", "follows", "reload"};
 
@@ -29,6 +30,9 @@
     {"no-upstream",
      "It did not run: no upstream of its service was eligible. See the state changes of upstreams."},
     {"no-configuration", "It did not run: the instance had no configuration yet."},
+    {"quarantined",
+     "It did not run: upstreams ended while requests with the same content were in progress there, as the "
+     "lines of the quarantine say, and none has completed since."},
     {"paused", "It did not run: the process was paused while the request waited."},
     {"leaving", "It did not run: the instance was shutting down."},
     {"deadline-passed", "It did not run: its deadline passed before it could be sent."},
@@ -65,10 +69,12 @@
         parsed_line.part = text_in(object, "part");
         parsed_line.event = text_in(object, "event");
         parsed_line.upstream = text_in(object, "upstream");
+        parsed_line.fingerprint = text_in(object, "fingerprint");
         parsed_line.json = json::serialize(object);
         if (text_in(object, "request") == this->request) {
             this->request_lines.push_back(std::move(parsed_line));
-        } else if (parsed_line.event == "upstream_changed" || parsed_line.event == "upstreams_changed" ||
+        } else if (parsed_line.part == quarantine_part || parsed_line.event == "upstream_changed" ||
+                   parsed_line.event == "upstreams_changed" ||
                    std::ranges::find(dependency_events, parsed_line.event) != dependency_events.end()) {
             this->context_lines.push_back(std::move(parsed_line));
         }
@@ -78,6 +84,11 @@
 bool request_history::is_relevant(const log_line& candidate) const
 {
     return std::ranges::any_of(this->request_lines, [&](const log_line& request_line) {
+        //! NOTE What makes a request a suspect may be long ago, and at any instance.
+        if (candidate.part == quarantine_part) {
+            return !request_line.fingerprint.empty() &&
+                   candidate.json.find(request_line.fingerprint) != std::string::npos;
+        }
         const bool is_near = std::abs(candidate.time_ms - request_line.time_ms) <= context_window_ms;
         const bool is_upstream = candidate.event == "upstream_changed";
         const bool lists_several_upstreams = candidate.event == "upstreams_changed";
--- a/src/operators/request_history.h
+++ b/src/operators/request_history.h
@@ -35,6 +35,7 @@
         std::string part;
         std::string event;
         std::string upstream;
+        std::string fingerprint; //!< of the request's content; other lines may name several
         std::string json;
     };
 
--- a/src/operators/tests/request_history_tests.cpp
+++ b/src/operators/tests/request_history_tests.cpp
@@ -16,10 +16,14 @@
 {"time_ms":10002,"part":"requests","event":"answer","request":"r2","outcome":"refused","reason":"overloaded"}
 {"time_ms":10003,"part":"view","event":"upstreams_changed","state":"removed","upstreams":["u1","u7"]}
 {"time_ms":10004,"part":"view","event":"upstreams_changed","state":"ready","upstreams":["u8"]}
+{"time_ms":30000,"part":"requests","event":"answer","request":"r4","fingerprint":"bb02","outcome":"refused","reason":"quarantined"}
 {"time_ms":90000,"part":"view","event":"store_lost","collection":"upstreams"}
 )";
 constexpr const char* log_of_b = R"({"time_ms":9990,"part":"gateway","event":"paused","ms":700}
 {"time_ms":10005,"part":"requests","event":"answer","request":"r3","outcome":"refused","reason":"paused"}
+{"time_ms":1000,"part":"quarantine","event":"crash","run":"u4@7","fingerprints":["aa01","bb02"]}
+{"time_ms":1001,"part":"quarantine","event":"crash","run":"u5@7","fingerprints":["cc03"]}
+{"time_ms":1003,"part":"quarantine","event":"quarantined","fingerprint":"bb02","ended":["u4@7","u6@7"],"for_ms":60000}
 )";
 
 request_history history_of(const std::string& request)
@@ -68,3 +72,15 @@
 {
     CHECK_FALSE(history_of("r7").is_found());
 }
+
+TEST_CASE("[GIVEN] a request that was refused because others like it crashed upstreams [WHEN] it is "
+          "explained [THEN] "
+          "these crashes are shown, whenever and wherever they were",
+          "[operators]")
+{
+    const auto history = history_of("r4");
+    CHECK(has(history, "upstreams ended while requests with the same content"));
+    CHECK(has(history, "u4@7"));
+    CHECK(has(history, "u6@7"));
+    CHECK_FALSE(has(history, "cc03"));
+}
