Register the soak's upstreams again once they are warm

Trace: gateways that had just started refused steady's requests with no-upstream for 2 to 3 s and sent none. All three upstreams of the service had been replaced, and the store still held their first entry, which calls them cold for 3 s; upstreams of the platform renew theirs.

--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -153,6 +153,14 @@
     proxied.upstream = std::make_unique<platform_upstream>(this->context, traits, this->upstream_runs);
     proxied.proxy = std::make_unique<loopback_proxy>(this->context, proxied.upstream->address());
     put_upstream(this->store, *proxied.upstream, proxied.proxy->address(), false);
+    if (starts_during_run) {
+        this->run_after(cold_time, [this, id = traits.id] {
+            const auto* warm = this->find_upstream(id);
+            if (warm != nullptr && !warm->is_leaving) {
+                put_upstream(this->store, *warm->upstream, warm->proxy->address(), false);
+            }
+        });
+    }
     this->upstreams.push_back(std::move(proxied));
 }
 
