--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -27,6 +27,9 @@
     add("gateway", options::value<std::string>()->default_value(BINARY_DIR "/buckthornhill-gateway"),
         "path of the gateway program");
     add("callers", options::value<std::size_t>()->default_value(24), "number of concurrent callers");
+    add("upstreams", options::value<std::size_t>()->default_value(3), "number of upstreams of each service");
+    add("retry-burst", options::value<unsigned>()->default_value(58),
+        "retries beyond the ratio that all gateways together may spend in a window");
     add("logs", options::value<std::string>()->default_value("soak-logs"),
         "folder for settings and logs; those of runs without violations are removed");
     return descriptions;
@@ -39,6 +42,8 @@
     run_options.fault_time = std::chrono::seconds(values["seconds"].as<int>());
     run_options.gateways = values["gateways"].as<std::size_t>();
     run_options.callers = values["callers"].as<std::size_t>();
+    run_options.upstreams_of_service = values["upstreams"].as<std::size_t>();
+    run_options.retry_burst = values["retry-burst"].as<unsigned>();
     run_options.gateway_program = values["gateway"].as<std::string>();
     run_options.directory = values["logs"].as<std::string>() + "/seed-" + std::to_string(seed);
     std::filesystem::remove_all(run_options.directory);
--- a/tools/soak/soak_callers.cpp
+++ b/tools/soak/soak_callers.cpp
@@ -61,6 +61,7 @@
     const auto& gateway = *this->gateways[caller.gateway];
     const auto sent_at = std::chrono::steady_clock::now();
     this->checker.on_sent(sent_at, request_id, gateway.name(), is_idempotent);
+    this->attempts.on_sent(sent_at, request_id, announced_wait);
     const auto service = this->service_by_prefix.find(path);
     if (service != this->service_by_prefix.end()) {
         this->arrivals.on_sent(sent_at, request_id, service->second, gateway.name());
--- a/tools/soak/soak_crashes.cpp
+++ b/tools/soak/soak_crashes.cpp
@@ -32,6 +32,7 @@
     }
     const bool has_replacement = std::exchange(proxied->is_leaving, true);
     proxied->has_ended = true;
+    this->attempts.on_upstream_lost(id);
     proxied->upstream->crash();
     proxied->proxy->close();
     this->run_after(registration_expiry, [this, id, has_replacement, service = proxied->upstream->service()] {
@@ -42,6 +43,21 @@
     });
 }
 
+void soak_run::end_many_upstreams(const std::string& service)
+{
+    std::vector<std::string> ids;
+    for (const auto& proxied : this->upstreams) {
+        if (proxied.upstream->service() == service && !proxied.is_leaving) {
+            ids.push_back(proxied.upstream->id());
+        }
+    }
+    constexpr std::size_t share = 3;
+    const auto count = std::max<std::size_t>(1, ids.size() / share);
+    for (std::size_t i = 0; i < std::min(count, ids.size()); ++i) {
+        this->end_upstream(ids[i]);
+    }
+}
+
 void soak_run::start_crashing_request()
 {
     if (this->is_injection_over) {
--- a/tools/soak/soak_faults.cpp
+++ b/tools/soak/soak_faults.cpp
@@ -136,7 +136,11 @@
     const auto id = chosen->upstream->id();
     if (this->draw(3) == 0 && !chosen->is_leaving) {
         ++this->event_counts["crash"];
-        this->end_upstream(id);
+        if (this->draw(2) == 0) {
+            this->end_many_upstreams(chosen->upstream->service());
+        } else {
+            this->end_upstream(id);
+        }
         return;
     }
     if (this->draw(4) == 0) {
@@ -156,6 +160,7 @@
     chosen->proxy->set_mode(mode);
     const bool loses_responses =
         mode != proxy_mode::delay && mode != proxy_mode::add_refusals && mode != proxy_mode::repeat_responses;
+    this->attempts.on_upstream_lost(id);
     if (loses_responses) {
         this->arrivals.on_responses_lost(start, start + duration, id);
     }
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -12,7 +12,6 @@
 //! Only two, so that each failure domain has enough gateways for a relay.
 constexpr std::array<const char*, 2> domains{"north-a", "south-a"};
 constexpr std::array<const char*, 3> services{"steady", "left", "right"};
-constexpr std::size_t upstreams_of_service = 3;
 constexpr milliseconds request_work_time{40}; //!< long enough that a crash interrupts some requests
 constexpr milliseconds cold_time{3000};       //!< of upstreams that start during a run
 constexpr unsigned cold_requests_per_second = 8;
@@ -20,7 +19,7 @@
 constexpr const char* bounds_settings =
     "bound = stable_window=3000ms\nbound = drain=2000ms\nbound = config_apply=2000ms\n"
     "bound = evacuation=5000ms\nbound = grace=6s\nbound = retry_budget_ratio=0.2\n"
-    "bound = retry_budget_burst=58\nbound = budget_window=10s\n";
+    "bound = budget_window=10s\n";
 constexpr milliseconds startup_time{2500};  //!< until all gateways have complete information
 constexpr milliseconds recovery_time{6000}; //!< until everything has recovered; users accept 15 s
 //! From the recovery to a drain and a configuration change, whose bounds no fault excuses.
@@ -39,14 +38,16 @@
     : options(run_options)
     , random(run_options.seed)
     , store(this->context)
+    , arrivals({.retry_burst = static_cast<double>(run_options.retry_burst)})
 {
     for (const auto* service : services) {
-        for (std::size_t i = 0; i < upstreams_of_service; ++i) {
+        for (std::size_t i = 0; i < run_options.upstreams_of_service; ++i) {
             this->add_upstream(service);
         }
     }
     this->change_configuration();
     std::string settings = bounds_settings;
+    settings += "bound = retry_budget_burst=" + std::to_string(run_options.retry_burst) + "\n";
     for (const auto* domain : domains) {
         const std::string name(domain);
         settings += "region-of-domain = " + name + "=" + name.substr(0, name.find('-')) + "\n";
@@ -219,6 +220,7 @@
             this->checker.on_execution(run.started_at, run.request, run.upstream, run.service);
         }
         this->arrivals.on_arrival(run.started_at, run.request, run.upstream, run.service);
+        this->attempts.on_arrival(run.started_at, run.request, run.upstream, run.is_executed, run.time_left);
         if (run.limit_named_at) {
             this->arrivals.on_limit_named(*run.limit_named_at, run.request, run.upstream);
         }
@@ -233,6 +235,7 @@
     this->check_quarantined_requests();
     auto violations = this->checker.violations();
     std::ranges::copy(this->arrivals.violations(), std::back_inserter(violations));
+    std::ranges::copy(this->attempts.violations(), std::back_inserter(violations));
     return violations;
 }
 
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "arrival_checker.h"
+#include "attempt_checker.h"
 #include "gateway_process.h"
 #include "guarantee_checker.h"
 #include "http/http_client.h"
@@ -28,6 +29,8 @@
     std::chrono::seconds fault_time{10}; //!< duration of fault injection
     std::size_t gateways = 9;
     std::size_t callers = 24;
+    std::size_t upstreams_of_service = 3;
+    unsigned retry_burst = 58; //!< retries beyond the ratio, of all gateways in one window
     std::string gateway_program;
     std::string directory; //!< for settings files and logs
 };
@@ -90,6 +93,8 @@
     void inject_store_fault();
     void inject_upstream_fault();
     void end_upstream(const std::string& id);
+    //! Ends a third of the upstreams of a service at once.
+    void end_many_upstreams(const std::string& service);
     //! Callers begin to send a request that crashes upstreams, again and again and to several gateways.
     void start_crashing_request();
     void send_crashing_request(const crashing_request& request, std::uint64_t repeats_left,
@@ -128,7 +133,8 @@
     std::vector<crashing_request> crashing_requests; //!< so far
     std::map<std::string, int> event_counts;
     guarantee_checker checker{guarantee_bounds{}};
-    arrival_checker arrivals{arrival_bounds{}};
+    arrival_checker arrivals;
+    attempt_checker attempts{attempt_bounds{}};
     std::map<std::string, std::string> service_by_prefix; //!< of the current configuration
     std::map<std::string, time_point> down_since;         //!< by gateway, from a kill or the start of a stop
     std::uint64_t last_request = 0;
