Start nothing while a run of the soak is destroyed

A run that ends by an exception gets there with all timers set. It may be the cause of the abort listed for soak_full_upstreams, which was never seen again; that is not shown.

--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -66,7 +66,9 @@
 
 soak_run::~soak_run()
 {
-    //! NOTE Pending operations must complete here, while the objects that they refer to still exist.
+    //! NOTE Pending operations must complete here, while the objects that they refer to still exist. Timers
+    //! that are due must not start anything new.
+    this->is_over = true;
     this->gateways.clear();
     this->callers.clear();
     this->crash_client.reset();
@@ -88,11 +90,12 @@
 void soak_run::run_after(milliseconds time, action callback)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(this->context, time);
-    timer->async_wait([timer, callback = std::move(callback)](const boost::system::error_code& failure) {
-        if (!failure) {
-            callback();
-        }
-    });
+    timer->async_wait(
+        [this, timer, callback = std::move(callback)](const boost::system::error_code& failure) {
+            if (!failure && !this->is_over) {
+                callback();
+            }
+        });
 }
 
 void soak_run::record_store_fault(milliseconds time)
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -142,5 +142,6 @@
     std::uint64_t last_version = 0;
     bool is_injection_over = false; //!< no further faults are injected
     bool is_load_over = false;      //!< no further requests are sent
+    bool is_over = false;           //!< this object is being destroyed
 };
 } // namespace buckthornhill::soak
