Take no request in a planned stop that may outlast the process

Callers of a stopping gateway had requests cut off with no answer, among them such that may run once (LOST): it took requests until half of the grace period and ended at 95 % of it, whatever time a request may take.

A request is taken now only if its deadline, or its route's timeout, ends before the process does, and is refused with 503 otherwise: it has not been sent, and another instance can serve it at once. What was taken before the signal is still finished as long as the grace allows.

--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -295,11 +295,13 @@
     new_flow.object = std::move(metadata.object);
     new_flow.request_fingerprint = facts.request_fingerprint;
     new_flow.arrived_at = exchange->received_at();
+    auto latest_end = facts.deadline;
     if (const auto* route = this->core.routes().find(facts.host, facts.path)) {
         new_flow.route = route->name;
+        latest_end = std::min(latest_end, facts.arrived_at + route->timeout);
     }
     this->flows.emplace(flow, std::move(new_flow));
-    if (!this->leave.accepts_requests(time)) {
+    if (!this->leave.accepts_request(time, latest_end)) {
         this->respond(flow, this->dialect.write_refusal(leaving_retry_after), "refused", "leaving");
         return;
     }
--- a/src/gateway/leave_sequence.h
+++ b/src/gateway/leave_sequence.h
@@ -9,9 +9,9 @@
     duration grace{};  //!< from the stop signal until the process is killed
 };
 
-//! Phases of a planned stop: new requests are first served, then refused so that those in progress can
-//! complete. The process ends when it is idle and look-up responses have expired, or when the grace period is
-//! nearly over.
+//! Phases of a planned stop: new requests are served as long as they are certain to end in time, then refused
+//! so that those in progress can complete. The process ends when it is idle and look-up responses have
+//! expired, or when the grace period is nearly over.
 class leave_sequence
 {
 public:
@@ -25,9 +25,14 @@
     }
 
     bool is_leaving() const { return this->has_begun; }
-    bool accepts_requests(time_point now) const
+    //! Whether a request may be taken that ends at `latest_end` at the latest, by its timeout.
+    bool accepts_request(time_point now, time_point latest_end) const
     {
-        return !this->has_begun || now - this->started_at < this->share_of_grace(accepting_share);
+        if (!this->has_begun) {
+            return true;
+        }
+        const auto last_end = this->started_at + this->share_of_grace(usable_share) - response_time;
+        return now - this->started_at < this->share_of_grace(accepting_share) && latest_end <= last_end;
     }
     bool is_over(time_point now, bool has_requests) const
     {
@@ -37,8 +42,10 @@
     }
 
 private:
-    //! Requests accepted later might not complete before the process is killed.
+    //! Leaves time for requests that were accepted before.
     static constexpr double accepting_share = 0.5;
+    //! For the last response to leave the process.
+    static constexpr std::chrono::milliseconds response_time{100};
     //! The rest of the grace period is for stopping the threads.
     static constexpr double usable_share = 0.95;
 
--- a/src/gateway/tests/leave_sequence_tests.cpp
+++ b/src/gateway/tests/leave_sequence_tests.cpp
@@ -16,7 +16,7 @@
 {
     const leave_sequence leave;
     CHECK_FALSE(leave.is_leaving());
-    CHECK(leave.accepts_requests(start + std::chrono::hours(1)));
+    CHECK(leave.accepts_request(start + std::chrono::hours(1), start + std::chrono::hours(2)));
     CHECK_FALSE(leave.is_over(start + std::chrono::hours(1), false));
 }
 
@@ -27,8 +27,21 @@
     leave_sequence leave;
     leave.begin(start, configuration);
     CHECK(leave.is_leaving());
-    CHECK(leave.accepts_requests(start + milliseconds(2999)));
-    CHECK_FALSE(leave.accepts_requests(start + milliseconds(3000)));
+    const auto end = start + milliseconds(4000);
+    CHECK(leave.accepts_request(start + milliseconds(2999), end));
+    CHECK_FALSE(leave.accepts_request(start + milliseconds(3000), end));
+}
+
+//! Guards against requests that a stopping instance passes on and cuts off at the end of the grace period.
+TEST_CASE("[GIVEN] a stop [WHEN] a request may last longer than the process [THEN] it is not accepted",
+          "[gateway]")
+{
+    leave_sequence leave;
+    leave.begin(start, configuration);
+    CHECK(leave.accepts_request(start, start + milliseconds(5600)));
+    CHECK_FALSE(leave.accepts_request(start, start + milliseconds(5601)));
+    CHECK(leave.accepts_request(start + milliseconds(2600), start + milliseconds(5600)));
+    CHECK_FALSE(leave.accepts_request(start + milliseconds(2700), start + milliseconds(5700)));
 }
 
 TEST_CASE(
@@ -57,5 +70,5 @@
     leave_sequence leave;
     leave.begin(start, configuration);
     leave.begin(start + milliseconds(2500), configuration);
-    CHECK_FALSE(leave.accepts_requests(start + milliseconds(3000)));
+    CHECK_FALSE(leave.accepts_request(start + milliseconds(3000), start + milliseconds(3500)));
 }
