Answer all requests that were read before a planned stop closes a connection

With requests in a row on one connection, a stop closed it after the last one that had been started and dropped those read behind it. That is honest by HTTP (RFC 9112, 9.3.2: the client may send them again), but a caller whose request was read 200 ms before counts it as lost (LOST).

The test that planned stops answer what was started expected the drop; it now expects an answer to each request that was read and the close with the last one, which is more.

--- a/src/http/internal/request_pipeline.cpp
+++ b/src/http/internal/request_pipeline.cpp
@@ -93,10 +93,9 @@
     if (this->entries.empty() || !this->entries.front().response) {
         return std::nullopt;
     }
-    const bool is_last_started = this->entries.size() == 1 || !this->entries[1].is_started;
     outgoing next;
     next.response = std::move(*this->entries.front().response);
-    next.closes = !this->entries.front().received.keeps_alive || (is_closing && is_last_started);
+    next.closes = !this->entries.front().received.keeps_alive || (is_closing && this->entries.size() == 1);
     this->drop_front();
     if (next.closes) {
         this->clear();
--- a/src/http/internal/request_pipeline.h
+++ b/src/http/internal/request_pipeline.h
@@ -58,8 +58,8 @@
     void bind(request_ticket ticket, http_exchange* exchange);
     //! False when the request is not waiting for its response.
     bool set_response(request_ticket ticket, http_response response);
-    //! The response to the first request, if it is there. With `is_closing` the connection closes as
-    //! soon as no request that was started is left.
+    //! The response to the first request, if it is there. With `is_closing` the connection closes as soon as
+    //! no request that was read is left.
     std::optional<outgoing> take_response(bool is_closing);
 
     //! Requests that were started and have no response yet, the oldest first.
--- a/src/http/tests/pipelining_tests.cpp
+++ b/src/http/tests/pipelining_tests.cpp
@@ -191,8 +191,12 @@
     REQUIRE(server.run_until([&] { return server.held.contains("/s2"); }));
 }
 
-TEST_CASE("[GIVEN] requests in a row [WHEN] a planned stop begins [THEN] what was started is answered",
-          "[http][pattern: requests in a row][pattern: planned stop]")
+//! Guards against a request that was read behind another one and is dropped when a stop closes the
+//! connection.
+TEST_CASE(
+    "[GIVEN] requests in a row [WHEN] a planned stop begins [THEN] all that were read are answered, and the "
+    "connection closes after the last",
+    "[http][pattern: requests in a row][pattern: planned stop]")
 {
     holding_server server;
     server.server.on_concurrency_check(
@@ -203,11 +207,14 @@
     server.server.announce_close();
     server.answer("/s1");
     server.answer("/s2");
+    REQUIRE(server.run_until([&] { return server.held.contains("/once"); }));
+    server.answer("/once");
     REQUIRE(server.run_until([&] { return client.is_ended; }));
     CHECK(client.has("to /s1"));
     CHECK(client.has("to /s2"));
-    CHECK(client.position("Connection: close") > client.position("to /s1"));
-    CHECK(server.started == std::vector<std::string>{"/s1", "/s2"});
+    CHECK(client.has("to /once"));
+    CHECK(client.position("Connection: close") > client.position("to /s2"));
+    CHECK(server.started == std::vector<std::string>{"/s1", "/s2", "/once"});
     CHECK(server.server.is_idle());
 }
 
