Remember pauses and limits of upstreams that are not usable for a time

An upstream that asked for a pause or named a limit, was evacuated or missed its registration for a second, and came back got requests at once: its state was dropped with the first cleanup while it was not usable. Read before, not reproduced; two unit tests show it now and failed before the change (has_room 4 s into a pause of 8 s, and 3 s into an interval of 5.5 s).

The state stays while the pause or the interval lasts, and for a minute after the last signal, however often the upstream comes and goes; a new run under the same id starts without.

--- a/src/placement/upstream_load.cpp
+++ b/src/placement/upstream_load.cpp
@@ -48,6 +48,7 @@
         this->next_send_at = {};
         return was_limited;
     }
+    this->latest_signal_at = now;
     const auto interval = this->send_interval(instances);
     this->next_send_at = was_limited ? std::min(this->next_send_at, now + interval)
                                      : now + std::chrono::duration_cast<duration>(interval * phase);
@@ -126,6 +127,7 @@
     const auto spread = std::chrono::duration_cast<duration>(bounded * (phase * return_spread));
     const bool begins = now >= this->paused_until;
     this->paused_until = std::max(this->paused_until, now + bounded + spread);
+    this->latest_signal_at = now;
     this->has_paused = true;
     return begins;
 }
--- a/src/placement/upstream_load.h
+++ b/src/placement/upstream_load.h
@@ -52,6 +52,8 @@
     double slowness(time_point now) const;
     //! Moving average of the share of requests that did not succeed.
     double failure_share(time_point now) const;
+    //! When the upstream last named a pause or a limit that may still hold.
+    time_point signalled_at() const { return this->latest_signal_at; }
     std::uint64_t run_started_at_ms() const { return this->started_at_ms; }
 
 private:
@@ -77,6 +79,7 @@
     std::optional<double> stated_rate; //!< requests per second, from all instances together
     time_point next_send_at{};         //!< earliest, by the stated rate
     time_point paused_until{};
+    time_point latest_signal_at{};
     bool has_paused = false;               //!< and has not answered a request since
     std::list<object_hash> recent_objects; //!< most recent first
     std::unordered_map<object_hash, std::list<object_hash>::iterator> recent_object_positions;
--- a/src/placement/upstream_picker.cpp
+++ b/src/placement/upstream_picker.cpp
@@ -11,6 +11,7 @@
 constexpr double failure_cost_factor = 2.0;
 //! The longer work on a cold object delays the requests behind it; this part of the extra time is counted.
 constexpr double cold_delay_factor = 0.5;
+constexpr std::chrono::seconds signal_memory{60};   //!< for upstreams that are not usable
 constexpr std::chrono::seconds cleanup_interval{1}; //!< between removals of the state of unlisted upstreams
 
 duration scaled(duration value, double factor)
@@ -226,8 +227,14 @@
     }
     this->next_cleanup_at = now + cleanup_interval;
     this->cold_limiter.remove_expired(now);
-    std::erase_if(this->loads, [&roster](const auto& item) {
-        return item.second.own_in_flight() == 0 && roster.find_usable(item.first) == nullptr;
+    std::erase_if(this->loads, [&](const auto& item) {
+        //! NOTE What an upstream asks for holds also when it is evacuated or its registration is missing for
+        //! a time.
+        const auto& load = item.second;
+        const bool was_signalled_lately =
+            load.signalled_at() != time_point{} && now - load.signalled_at() < signal_memory;
+        const bool is_remembered = was_signalled_lately || load.time_until_send(now) > duration{};
+        return load.own_in_flight() == 0 && !is_remembered && roster.find_usable(item.first) == nullptr;
     });
 }
 } // namespace buckthornhill::placement
