--- a/src/placement/tests/upstream_signal_tests.cpp
+++ b/src/placement/tests/upstream_signal_tests.cpp
@@ -15,7 +15,7 @@
 placement_choice send(upstream_picker& picker, const fleet::upstream_roster& roster, time_point now,
                       const placement_request& request)
 {
-    const auto choice = picker.pick(now, roster, request);
+    auto choice = picker.pick(now, roster, request);
     picker.on_sent(now, roster, request, choice.upstream);
     return choice;
 }
