Release the body of a request when its connection becomes idle

Cause: a client connection kept the message it had sent until the next request on it, so each idle connection held one body.

--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -51,6 +51,8 @@
     void close();
     //! Bytes in memory of responses that are being received.
     std::size_t buffered_bytes() const;
+    //! Bytes in memory of messages that idle connections still hold.
+    std::size_t idle_bytes() const;
 
 private:
     class implementation;
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -198,6 +198,9 @@
     this->is_busy = false;
     this->idle_start = std::chrono::steady_clock::now();
     this->buffer.shrink_to_fit();
+    if (!this->is_writing) {
+        this->outgoing.reset();
+    }
     this->callbacks.on_finished(pointer(this), std::move(result), is_reusable);
 }
 
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -42,6 +42,11 @@
     time_point idle_since() const { return this->idle_start; }
     //! Of the response that is being read.
     std::size_t buffered_bytes() const { return this->is_busy ? this->response_bytes : 0; }
+    //! Of the last request and of what was read behind its response.
+    std::size_t held_bytes() const
+    {
+        return (this->outgoing ? this->outgoing->body().capacity() : 0) + this->buffer.capacity();
+    }
     //! Ends the call as broken, since the response is too large to go on.
     void fail_oversized_response();
     void close();
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -83,6 +83,17 @@
             [](std::size_t sum, const client_connection& one) { return sum + one.buffered_bytes(); });
     }
 
+    std::size_t idle_bytes() const
+    {
+        std::size_t sum = 0;
+        for (const auto& [server, idle] : this->idle_by_server) {
+            for (const auto& connection : idle) {
+                sum += connection->held_bytes();
+            }
+        }
+        return sum;
+    }
+
 private:
     using connection_list =
         boost::intrusive::list<client_connection, boost::intrusive::constant_time_size<false>>;
@@ -261,6 +272,11 @@
     return this->state->buffered_bytes();
 }
 
+std::size_t http_client::idle_bytes() const
+{
+    return this->state->idle_bytes();
+}
+
 void http_client::close()
 {
     this->state->close();
