Send no body in responses to HEAD

Cause: the session wrote every response with its body, also the gateway's own to HEAD. Evidence: a test with a HEAD and a POST on one connection; it failed, the body of the first stood before the second response. Change: the pipeline remembers that the request was HEAD; only headers are sent, with the length of the body that is left out. A response from an upstream has no body there and names no length.

--- a/src/http/internal/http_session.cpp
+++ b/src/http/internal/http_session.cpp
@@ -228,6 +228,7 @@
     arrived.request.headers = this->received_headers();
     auto message = this->parser->release();
     arrived.keeps_alive = message.keep_alive();
+    arrived.is_head = message.method() == beast_http::verb::head;
     arrived.request.method = std::string(message.method_string());
     arrived.request.target = std::string(message.target());
     arrived.request.body = std::move(message.body());
@@ -343,9 +344,16 @@
     for (const auto& [name, value] : next->response.headers) {
         message.insert(name, value);
     }
-    message.body() = std::move(next->response.body);
     message.keep_alive(!next->closes);
-    message.prepare_payload();
+    if (next->has_no_body) {
+        //! NOTE The length is that of the body which a GET would get; unknown for a response from upstream.
+        if (!next->response.body.empty()) {
+            message.content_length(next->response.body.size());
+        }
+    } else {
+        message.body() = std::move(next->response.body);
+        message.prepare_payload();
+    }
     beast_http::async_write(this->socket, message,
                             [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
                                 self->on_response_written(failure);
--- a/src/http/internal/request_pipeline.cpp
+++ b/src/http/internal/request_pipeline.cpp
@@ -95,6 +95,7 @@
     }
     outgoing next;
     next.response = std::move(*this->entries.front().response);
+    next.has_no_body = this->entries.front().received.is_head;
     next.closes = !this->entries.front().received.keeps_alive || (is_closing && this->entries.size() == 1);
     this->drop_front();
     if (next.closes) {
--- a/src/http/internal/request_pipeline.h
+++ b/src/http/internal/request_pipeline.h
@@ -29,6 +29,7 @@
         time_point received_at;
         bool may_run_concurrently = false; //!< may be repeated, so it may run concurrently with others
         bool keeps_alive = true;           //!< the client wants to go on after it
+        bool is_head = false;              //!< its response has no body (RFC 9110, 9.3.2)
     };
     struct started_request
     {
@@ -39,7 +40,8 @@
     struct outgoing
     {
         http_response response;
-        bool closes = false; //!< the connection ends with this response
+        bool closes = false;      //!< the connection ends with this response
+        bool has_no_body = false; //!< only the headers are sent
     };
 
     void set_bounds(const bounds& new_bounds) { this->limits = new_bounds; }
--- a/src/http/tests/http_edge_tests.cpp
+++ b/src/http/tests/http_edge_tests.cpp
@@ -248,6 +248,20 @@
     CHECK(result.response.body == "no");
 }
 
+//! Guards against bodies in responses to HEAD, which the client takes for the start of its next response.
+TEST_CASE("[GIVEN] a HEAD request [WHEN] its response has a body [THEN] only the headers are sent", "[http]")
+{
+    echo_server server;
+    const auto answer = server.talk("HEAD / HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nunsent"
+                                    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+                                    "Connection: close\r\n\r\nsent");
+    const auto head_end = answer.find("\r\n\r\n") + 4;
+    CHECK(answer.substr(0, head_end).find("Content-Length: 6") != std::string::npos);
+    CHECK(answer.substr(head_end, 8) == "HTTP/1.1");
+    CHECK(answer.find("unsent") == std::string::npos);
+    CHECK(answer.ends_with("sent"));
+}
+
 TEST_CASE("[GIVEN] a HEAD request [WHEN] its answer names a length [THEN] no body is waited for", "[http]")
 {
     std::promise<void> is_call_finished;
