Watch a list of several pages from its first page on

Callers saw: work cut off. Cause: the watch went on from the version of the last page; what changed on earlier pages before that was never seen. Change: the update carries the version of the first page. Some changes are repeated, none is missed.

--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -98,6 +98,7 @@
     http::call_id call;
     std::string list_after;
     std::vector<object_change> listed_objects; //!< objects from the pages of a list that is not complete yet
+    object_version first_page_version;         //!< all pages are at least as new
 };
 
 collection_watcher::collection_watcher(boost::asio::io_context& io, http::endpoint address,
@@ -180,6 +181,9 @@
     try {
         auto page = this->dialect.decode_page(result.response.body);
         this->on_contact(which);
+        if (state.list_after.empty()) {
+            state.first_page_version = page.version;
+        }
         for (auto& object : page.objects) {
             state.list_after = object.name;
             state.listed_objects.push_back({std::move(object), false});
@@ -188,7 +192,9 @@
             this->call(which);
             return;
         }
-        collection_update update{which, true, this->is_after_outage(state), page.version, {}};
+        //! NOTE An object of an earlier page may have changed before the last page was read. Watching from
+        //! the first page on repeats some changes and misses none.
+        collection_update update{which, true, this->is_after_outage(state), state.first_page_version, {}};
         update.changes = std::exchange(state.listed_objects, {});
         state.list_after.clear();
         state.is_listed = true;
