Take no short loss of contact for an outage in which registrations expire

Callers saw: work cut off. Cause: every loss of contact counted as an outage in which a registration may merely have expired. Registrations expire after three missed renewals, so none can within the first two renewal intervals. Evidence: a test with one refused call between confirmations; it failed, the removal was marked as after an outage. Change: the end of an outage counts only if registrations could expire since contact last outlasted a renewal interval; short outages in quick succession therefore count as one (tested; a variant that forgets the first outage fails that test). The tests' configuration sets the interval to zero, so the cases on outages judge as before.

--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -58,6 +58,11 @@
                                               : bound->second - dependents_reaction_time;
 }
 
+std::chrono::milliseconds collection_watcher_configuration::shortest_expiring_outage() const
+{
+    return (this->renewals_until_expiry - 1) * this->renewal_interval;
+}
+
 std::chrono::milliseconds collection_watcher_configuration::poll_duration(collection which) const
 {
     const auto bound = this->change_bounds.find(which);
@@ -91,6 +96,10 @@
     bool was_delivered = false;    //!< since the process started
     bool has_lost_contact = false; //!< contact was lost after the known state was received
     time_point contact_since{};
+    //! End of the latest outage in which objects may have expired.
+    time_point outage_end{};
+    //! The latest response at which contact had lasted for so long that all objects had been renewed.
+    time_point renewed_at{};
     time_point changed_at{};
     time_point called_at{};
     std::chrono::milliseconds backoff{0};
@@ -288,13 +297,20 @@
         this->last_in_contact = which;
     }
     state.backoff = std::chrono::milliseconds(0);
+    const auto time = now();
     if (state.is_in_contact) {
+        if (time - state.contact_since >= this->configuration.renewal_interval) {
+            state.renewed_at = time;
+        }
         return;
     }
     state.is_in_contact = true;
+    state.contact_since = time;
     //! NOTE The first contact of a process that has no state yet does not count as the end of an outage.
     const bool is_restored = std::exchange(state.has_lost_contact, false);
-    state.contact_since = is_restored ? now() : time_point{};
+    const bool may_have_expired =
+        is_restored && time - state.renewed_at >= this->configuration.shortest_expiring_outage();
+    state.outage_end = may_have_expired ? time : time_point{};
     this->sink(contact_change{which, true, {}});
     if (is_restored) {
         this->call_others_after_outage(state);
@@ -322,8 +338,7 @@
 
 bool collection_watcher::is_after_outage(const watch& state) const
 {
-    return state.contact_since != time_point{} &&
-           now() - state.contact_since < this->configuration.outage_memory;
+    return state.outage_end != time_point{} && now() - state.outage_end < this->configuration.outage_memory;
 }
 
 void collection_watcher::on_failure(collection which, const http::call_result& result)
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -52,6 +52,10 @@
     //! An entry that disappears later than this after contact was restored was removed; before that, it may
     //! merely have expired during the outage.
     std::chrono::milliseconds outage_memory{2000};
+    //! Interval at which objects are renewed by their owners.
+    std::chrono::milliseconds renewal_interval{1500};
+    //! Missed renewals after which an object expires.
+    int renewals_until_expiry = 3;
     //! Pause between a change and the next call, so that changes in quick succession arrive in one response.
     //! It doubles while changes continue, up to two fifths of the two seconds within which a change must take
     //! effect.
@@ -73,6 +77,9 @@
     std::chrono::milliseconds poll_duration(collection which) const;
     //! The same while other instances depend on this one.
     std::chrono::milliseconds poll_duration_with_dependents(collection which) const;
+    //! Time from the last renewals that were surely possible until the first object may expire: its owner may
+    //! have renewed it up to an interval earlier.
+    std::chrono::milliseconds shortest_expiring_outage() const;
     //! Age of the latest response of the store for `which` up to which other instances may depend on it. The
     //! rest of the bound is for those that must then call the store themselves.
     std::chrono::milliseconds max_confirmation_age(collection which) const;
--- a/src/store/tests/collection_watcher_tests.cpp
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -90,6 +90,7 @@
     configuration.min_pause = milliseconds(1);
     configuration.max_pause = milliseconds(1);
     configuration.first_pause = first_pause;
+    configuration.renewal_interval = milliseconds(0);
     return configuration;
 }
 
@@ -244,6 +245,46 @@
     }
 }
 
+//! Guards against removed upstreams that stay in use because a single call to the store had failed.
+TEST_CASE("[GIVEN] contact with the store [WHEN] it is lost for a time in which nothing can expire [THEN] "
+          "removals are not marked as after an outage",
+          "[store]")
+{
+    auto configuration = fast_configuration(milliseconds(1));
+    configuration.renewal_interval = milliseconds(40);
+    configuration.renewals_until_expiry = 100;
+    std::vector<scripted_store::answer> answers(8, {200, "a@5"});
+    answers.insert(answers.end(), {{503, ""}, {200, "@7"}, {200, "b@8"}});
+    configuration.min_pause = milliseconds(20);
+    configuration.max_pause = milliseconds(20);
+    scripted_store store(answers, configuration);
+    store.run();
+    REQUIRE(store.contacts == std::vector<bool>{true, false, true});
+    REQUIRE(store.updates.size() == 10);
+    CHECK_FALSE(store.updates[8].after_outage);
+    CHECK_FALSE(store.updates[9].after_outage);
+}
+
+//! Guards against upstreams that are dropped although only the second of two short outages let them expire.
+TEST_CASE(
+    "[GIVEN] two short outages [WHEN] the time between them is too short for renewals [THEN] they count "
+    "as one",
+    "[store]")
+{
+    auto configuration = fast_configuration(milliseconds(1));
+    configuration.renewal_interval = milliseconds(40);
+    configuration.min_backoff = milliseconds(50);
+    configuration.max_backoff = milliseconds(50);
+    configuration.min_pause = milliseconds(20);
+    configuration.max_pause = milliseconds(20);
+    std::vector<scripted_store::answer> answers(5, {200, "a@5"});
+    answers.insert(answers.end(), {{503, ""}, {200, "@5"}, {503, ""}, {200, "b@8"}});
+    scripted_store store(answers, configuration);
+    store.run();
+    REQUIRE(store.updates.size() == 7);
+    CHECK(store.updates[6].after_outage);
+}
+
 TEST_CASE("[GIVEN] a long poll whose connection was reset [WHEN] it is repeated [THEN] the store is asked to "
           "respond at once",
           "[store][pattern: connections of all instances are reset]")
