Percent-encode service and region in an operator's look-up

What operators saw: a look-up for a service or region whose name has &, #, + or a blank asked for another one, or got 'malformed request'.

Cause: both went into the target as they are, like the names in targets of the store.

Change: percent_encoded, as for the store. The other targets that are put together (relays, peers, the daemon's documents and health checks) hold only names and numbers that the program chooses itself, and those of callers are passed on as they came.

Evidence: operators_tests 'names with characters of a target' failed before ('malformed request: bad version') and passes now.

--- a/src/operators/traffic_commands.cpp
+++ b/src/operators/traffic_commands.cpp
@@ -1,6 +1,7 @@
 #include "operators/traffic_commands.h"
 
 #include "http/blocking_call.h"
+#include "http/percent_encoding.h"
 #include "operators/operators_errors.h"
 
 namespace buckthornhill::operators {
@@ -37,7 +38,8 @@
 std::string traffic_commands::look_up(const std::string& service) const
 {
     http::http_request request;
-    request.target = "/.buckthornhill/lookup?service=" + service + "&region=" + this->configuration.region;
+    request.target = "/.buckthornhill/lookup?service=" + http::percent_encoded(service) +
+                     "&region=" + http::percent_encoded(this->configuration.region);
     return this->send(this->first_address(), std::move(request)).body + "\n";
 }
 
