Notice a list whose pages lead nowhere new, and pause before it is read again

What callers saw: a store that sent the same page again was asked for it without a pause, tens of thousands of times a second over all instances, and none got ready. An empty page that says more follow passed for the end of the list, so a part of it replaced what was known.

Cause: none of the three readers of lists compared where a page leads with where the list has been, and each page that came set the pause after failures back to its start.

Change: list_cursor keeps the place of a list and the places it has been at. A page that leads to one of these, or to none while more entries follow, makes the list stuck: the watcher logs list_stuck, delivers nothing and starts anew after its backoff, which only a delivered list or poll sets back; the registration and the archive wait as after a failed call. Contact with the store is not lost by it. Names are not compared, since a store may have an order of its own.

--- a/src/gateway/quarantine_archive.cpp
+++ b/src/gateway/quarantine_archive.cpp
@@ -107,9 +107,9 @@
     this->next_check_at = now + check_interval;
     if (!this->is_reading && now >= this->next_read_at) {
         if (!this->has_read_all) {
-            this->read(false, {});
+            this->read(false);
         } else if (this->callbacks.has_lost_sight()) {
-            this->read(true, {});
+            this->read(true);
         }
     }
     if (this->suspects.suspect_count() == 0 && this->schedule.is_empty()) {
@@ -125,7 +125,7 @@
 {
     const bool has_read_lately = now + blind_read_interval - retry_delay < this->next_read_at;
     if (this->has_read_all && !this->is_reading && !has_read_lately && this->callbacks.has_lost_sight()) {
-        this->read(false, {});
+        this->read(false);
     }
 }
 
@@ -154,12 +154,18 @@
     return !named || *named == previous || previous == store::store_era();
 }
 
-void quarantine_archive::read(bool may_be_stale, const std::string& after)
+void quarantine_archive::read(bool may_be_stale)
+{
+    this->cursor.reset();
+    this->read_page(may_be_stale);
+}
+
+void quarantine_archive::read_page(bool may_be_stale)
 {
     this->is_reading = true;
     this->schedule_read(clock_now());
     this->client->send(this->settings.store_endpoint,
-                       this->dialect.list(collection::quarantines, after, may_be_stale),
+                       this->dialect.list(collection::quarantines, this->cursor.after(), may_be_stale),
                        clock_now() + call_timeout, http::connection_choice::reuse,
                        [this, may_be_stale](const http::call_result& result) {
                            this->is_reading = false;
@@ -203,8 +209,13 @@
     if (!reports.empty()) {
         this->callbacks.on_read(reports);
     }
-    if (page.has_more && !page.continues_after.empty()) {
-        this->read(may_be_stale, page.continues_after);
+    const auto step = this->cursor.advance(page);
+    if (step == store::list_cursor::step::next_page) {
+        this->read_page(may_be_stale);
+        return;
+    }
+    if (step == store::list_cursor::step::stuck) {
+        log::event(log_part, "archive_unreadable", {{"reason", "the list does not go on"}});
         return;
     }
     this->has_read_all = true;
@@ -232,7 +243,7 @@
                            //! NOTE Another instance wrote the object; what it knows is added before the next
                            //! write.
                            if (outcome == write_result::exists && !this->is_reading) {
-                               this->read(false, {});
+                               this->read(false);
                            }
                        });
 }
--- a/src/gateway/quarantine_archive.h
+++ b/src/gateway/quarantine_archive.h
@@ -10,6 +10,7 @@
 #include "quarantine/archive_schedule.h"
 #include "quarantine/crash_watch.h"
 #include "store/collection_types.h"
+#include "store/list_cursor.h"
 
 namespace boost::asio {
 class io_context;
@@ -50,7 +51,8 @@
 private:
     //! Whether a response is of the current era, or names none. Reports a later era.
     bool accept_era(const http::call_result& result);
-    void read(bool may_be_stale, const std::string& after);
+    void read(bool may_be_stale);
+    void read_page(bool may_be_stale);
     void on_page(const http::call_result& result, bool may_be_stale);
     void schedule_read(time_point now);
     void make(const quarantine::archive_schedule::write& next);
@@ -63,6 +65,7 @@
     quarantine::archive_schedule schedule;
     std::unique_ptr<http::http_client> client;
     store::store_era era;
+    store::list_cursor cursor;
     bool has_read_all = false; //!< in the current era of the store
     bool is_reading = false;
     time_point restored_at{}; //!< the store came back from a copy
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -9,7 +9,9 @@
 #include "global/log.h"
 #include "global/pause_detector.h"
 #include "http/http_client.h"
+#include "http/percent_encoding.h"
 #include "store/instance_registration.h"
+#include "store/list_cursor.h"
 
 namespace buckthornhill::store {
 namespace {
@@ -70,7 +72,7 @@
     std::chrono::milliseconds backoff{0};
     std::chrono::milliseconds change_pause{0};
     http::call_id call;
-    std::string list_after;
+    list_cursor cursor;
     std::vector<object_change> listed_objects; //!< objects from the pages of a list that is not complete yet
     object_version first_page_version;         //!< all pages are at least as new
 };
@@ -133,7 +135,7 @@
     state.is_call_in_progress = true;
     state.awaits_contact = false;
     state.called_at = now();
-    if (state.is_listed || state.list_after.empty()) {
+    if (state.is_listed || state.cursor.is_at_start()) {
         state.asked_at = time_since_boot();
     }
     if (state.is_listed) {
@@ -146,7 +148,7 @@
         return;
     }
     state.call = this->client->send(
-        this->server, this->dialect.list(which, state.list_after, false),
+        this->server, this->dialect.list(which, state.cursor.after(), false),
         state.called_at + this->configuration.list_timeout, http::connection_choice::reuse,
         [this, which](const http::call_result& result) { this->on_list_result(which, result); });
 }
@@ -157,7 +159,7 @@
     state.is_call_in_progress = false;
     if (result.status == http::call_status::cancelled) {
         state.listed_objects.clear();
-        state.list_after.clear();
+        state.cursor.reset();
         this->call(which);
         return;
     }
@@ -171,22 +173,26 @@
     try {
         auto page = this->dialect.decode_page(result.response.body);
         this->on_contact(which);
-        if (state.list_after.empty()) {
+        if (state.cursor.is_at_start()) {
             state.first_page_version = page.version;
         }
         for (auto& object : page.objects) {
             state.listed_objects.push_back({std::move(object), false});
         }
-        if (page.has_more && !page.continues_after.empty()) {
-            state.list_after = std::move(page.continues_after);
+        const auto step = state.cursor.advance(page);
+        if (step == list_cursor::step::next_page) {
             this->call(which);
             return;
         }
+        if (step == list_cursor::step::stuck) {
+            this->on_stuck_list(which);
+            return;
+        }
         //! NOTE An object of an earlier page may have changed before the last page was read. Watching from
         //! the first page on repeats some changes and misses none.
         collection_update update{which, true, this->is_after_outage(state), state.first_page_version, {}};
         update.changes = std::exchange(state.listed_objects, {});
-        state.list_after.clear();
+        state.cursor.reset();
         state.is_listed = true;
         this->deliver(which, std::move(update));
     } catch (const buckthornhill::error& failure) {
@@ -195,6 +201,16 @@
     }
 }
 
+void collection_watcher::on_stuck_list(collection which)
+{
+    auto& state = *this->watches.at(which);
+    log::event(log_part, "list_stuck",
+               {{"collection", to_string(which)}, {"after", http::percent_encoded(state.cursor.after())}});
+    state.listed_objects.clear();
+    state.cursor.reset();
+    this->retry_later(which);
+}
+
 void collection_watcher::on_watch_result(collection which, const http::call_result& result)
 {
     auto& state = *this->watches.at(which);
@@ -234,6 +250,7 @@
 void collection_watcher::deliver(collection which, collection_update update)
 {
     auto& state = *this->watches.at(which);
+    state.backoff = std::chrono::milliseconds(0);
     update.asked_at = state.asked_at;
     const auto version = update.version;
     const bool has_changes = !update.changes.empty();
@@ -282,7 +299,6 @@
     if (which != collection::instances) {
         this->last_in_contact = which;
     }
-    state.backoff = std::chrono::milliseconds(0);
     const auto time = now();
     state.responded_at = time;
     if (state.is_in_contact) {
@@ -332,7 +348,7 @@
 {
     auto& state = *this->watches.at(which);
     state.listed_objects.clear();
-    state.list_after.clear();
+    state.cursor.reset();
     state.has_lost_contact = state.has_lost_contact || state.is_in_contact || state.is_listed;
     if (state.is_in_contact) {
         state.is_in_contact = false;
@@ -439,7 +455,7 @@
     auto& state = *this->watches.at(which);
     state.is_listed = false;
     state.listed_objects.clear();
-    state.list_after.clear();
+    state.cursor.reset();
     if (state.is_call_in_progress) {
         this->client->cancel(state.call);
     } else if (!this->is_suspended) {
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -90,6 +90,8 @@
     //! been lost in the outage.
     void call_others_after_outage(const watch& restored);
     void on_list_result(collection which, const http::call_result& result);
+    //! The pages do not lead to the end of the list, so it is read again after a pause.
+    void on_stuck_list(collection which);
     void on_watch_result(collection which, const http::call_result& result);
     void on_failure(collection which, const http::call_result& result);
     void on_contact(collection which);
--- a/src/store/instance_registration.cpp
+++ b/src/store/instance_registration.cpp
@@ -83,7 +83,8 @@
     if (is_complete && result.response.status < first_failure_status) {
         log::info(log_part, "Registered this instance in the store as " + this->name + ".");
     } else if (has_status(result, status_conflict) && !exists && is_restore) {
-        this->compare({});
+        this->cursor.reset();
+        this->compare();
     } else if (has_status(result, status_conflict) && !exists) {
         //! NOTE Replaces the object if it is left from an earlier run, or from a create request whose
         //! response was lost.
@@ -96,9 +97,9 @@
     }
 }
 
-void instance_registration::compare(const std::string& after)
+void instance_registration::compare()
 {
-    this->client.send(this->server, this->dialect.list(collection::instances, after, false),
+    this->client.send(this->server, this->dialect.list(collection::instances, this->cursor.after(), false),
                       now() + this->configuration.list_timeout, http::connection_choice::reuse,
                       [this](const http::call_result& result) { this->on_page(result); });
 }
@@ -116,8 +117,8 @@
             if (!this->is_replaceable || this->is_replaceable(*own)) {
                 this->put(true, true);
             }
-        } else if (page.has_more && !page.continues_after.empty()) {
-            this->compare(page.continues_after);
+        } else if (this->cursor.advance(page) == list_cursor::step::next_page) {
+            this->compare();
         } else {
             this->retry(true);
         }
--- a/src/store/instance_registration.h
+++ b/src/store/instance_registration.h
@@ -7,6 +7,7 @@
 #include "http/http_types.h"
 #include "store/collection_types.h"
 #include "store/collection_watcher_configuration.h"
+#include "store/list_cursor.h"
 
 namespace boost::asio {
 class io_context;
@@ -41,7 +42,8 @@
 private:
     void put(bool exists, bool is_restore);
     void on_put(const http::call_result& result, bool exists, bool is_restore);
-    void compare(const std::string& after);
+    //! Looks for this instance's object on the next page of the list.
+    void compare();
     void on_page(const http::call_result& result);
     void retry(bool is_restore);
 
@@ -56,5 +58,6 @@
     std::unique_ptr<timer> retry_timer;
     std::string name;
     std::string body;
+    list_cursor cursor;
 };
 } // namespace buckthornhill::store
--- a/src/store/tests/collection_watcher_tests.cpp
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -256,6 +256,58 @@
     CHECK(store.updates[1].changes.at(0).object.name == "a");
 }
 
+//! Guards against an instance that asks for the same page without a pause, or takes a part of a list for all.
+TEST_CASE(
+    "[GIVEN] a list whose pages lead nowhere new [WHEN] it is read [THEN] nothing is delivered, and the "
+    "pauses between the passes grow",
+    "[store][pattern: odd names in a list of several pages]")
+{
+    const auto* repeated = GENERATE("a,b@5+", "@5+");
+    constexpr std::size_t passes = 4;
+    auto configuration = fast_configuration(milliseconds(1));
+    configuration.min_backoff = milliseconds(20);
+    configuration.max_backoff = milliseconds(80);
+    std::vector<scripted_store::answer> answers;
+    for (std::size_t i = 0; i < passes; ++i) {
+        answers.insert(answers.end(), {{200, "a,b@5+"}, {200, repeated}});
+    }
+    answers.insert(answers.end(), {{200, "a,b@5+"}, {200, "c@5"}});
+    scripted_store store(answers, configuration);
+    store.run();
+    REQUIRE(store.updates.size() == 1);
+    CHECK(store.updates[0].is_snapshot);
+    CHECK(store.updates[0].changes.size() == 3);
+    CHECK(store.contacts == std::vector<bool>{true});
+    const std::vector pauses{milliseconds(20), milliseconds(40), milliseconds(80), milliseconds(80)};
+    for (std::size_t i = 0; i < passes; ++i) {
+        CHECK(store.calls[2 * i] == "GET /upstreams?after=");
+        CHECK(store.calls[2 * i + 1] == "GET /upstreams?after=b");
+        CHECK(store.called_at[2 * i + 2] - store.called_at[2 * i + 1] >= pauses[i]);
+    }
+}
+
+//! Guards against pauses that never grow because the first page of a list always comes.
+TEST_CASE(
+    "[GIVEN] a store that refuses the second page of a list [WHEN] the list is repeated [THEN] the pauses "
+    "grow",
+    "[store][pattern: odd names in a list of several pages]")
+{
+    auto configuration = fast_configuration(milliseconds(1));
+    configuration.min_backoff = milliseconds(20);
+    configuration.max_backoff = milliseconds(80);
+    configuration.recovery_bound = milliseconds(0);
+    std::vector<scripted_store::answer> answers;
+    for (int i = 0; i < 4; ++i) {
+        answers.insert(answers.end(), {{200, "a,b@5+"}, {400, ""}});
+    }
+    scripted_store store(answers, configuration);
+    store.known[collection::configuration] = {store_era(), object_version(1)};
+    store.run();
+    REQUIRE(store.called_at.size() == 9);
+    CHECK(store.called_at[4] - store.called_at[3] >= milliseconds(40));
+    CHECK(store.called_at[6] - store.called_at[5] >= milliseconds(80));
+}
+
 TEST_CASE(
     "[GIVEN] a store that lost its history [WHEN] it responds with 410 [THEN] the collection is listed again",
     "[store]")
