Log unreadable entries of a list once for each page

What operators saw: a list with many odd entries filled the log on each pass over it, a line for each entry, until other lines of the same part were left out.

How many there are, and how often they are read, is not in this program's hands.

Change: grouped_event writes like events of one step as one line, with the facts of the first and their count. A step is a page, a batch of changes, or one pass over a collection.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -8,13 +8,15 @@
 #include "gateway/confirmation_source.h"
 #include "gateway/peer_message_codec.h"
 #include "global/error.h"
+#include "global/grouped_event.h"
 #include "global/log.h"
 
 namespace buckthornhill::gateway {
 using store::collection;
 
 namespace {
-constexpr std::string_view log_part = "view";
+constexpr const char* log_part = "view";
+constexpr const char* unreadable_event = "upstream_entry_unreadable";
 constexpr std::size_t max_logged_bytes = 400;       //!< of an object that cannot be decoded
 constexpr std::size_t max_single_events = 8;        //!< larger updates are logged grouped by state
 constexpr std::size_t max_upstreams_per_event = 64; //!< in one log line
@@ -114,8 +116,9 @@
         for (const auto& name : decision.removed) {
             this->core.upstreams().remove(now, upstream_id(name), false);
         }
+        log::grouped_event unreadable(log_part, unreadable_event);
         for (const auto& name : decision.accepted) {
-            if (const auto entry = this->decode_upstream(mirror.objects().at(name))) {
+            if (const auto entry = this->decode_upstream(mirror.objects().at(name), unreadable)) {
                 this->core.upstreams().upsert(now, *entry);
             }
         }
@@ -268,15 +271,15 @@
     return peer_confirmation{this->core.routes().version(), *age};
 }
 
-std::optional<fleet::upstream_entry> fleet_view::decode_upstream(const store::stored_object& object) const
+std::optional<fleet::upstream_entry> fleet_view::decode_upstream(const store::stored_object& object,
+                                                                 log::grouped_event& unreadable) const
 {
     try {
         return this->dialect.decode_upstream(object.name, object.text);
     } catch (const buckthornhill::error& failure) {
-        log::event(log_part, "upstream_entry_unreadable",
-                   {{"upstream", object.name},
-                    {"reason", failure.what()},
-                    {"object", object.text.substr(0, max_logged_bytes)}});
+        unreadable.add({{"upstream", object.name},
+                        {"reason", failure.what()},
+                        {"object", object.text.substr(0, max_logged_bytes)}});
         return std::nullopt;
     }
 }
@@ -285,10 +288,11 @@
 {
     auto& roster = this->core.upstreams();
     const auto& mirror = this->mirrors.at(collection::upstreams);
+    log::grouped_event unreadable(log_part, unreadable_event);
     if (update.is_snapshot) {
         std::vector<fleet::upstream_entry> entries;
         for (const auto& [name, object] : mirror.objects()) {
-            if (auto entry = this->decode_upstream(object)) {
+            if (auto entry = this->decode_upstream(object, unreadable)) {
                 entries.push_back(std::move(*entry));
             }
         }
@@ -304,7 +308,8 @@
             continue;
         }
         const upstream_id id(change.object.name);
-        const auto entry = change.is_removed ? std::nullopt : this->decode_upstream(change.object);
+        const auto entry =
+            change.is_removed ? std::nullopt : this->decode_upstream(change.object, unreadable);
         if (entry) {
             roster.upsert(now, *entry);
         } else {
@@ -364,11 +369,12 @@
 std::vector<membership::member_description> fleet_view::registered_instances() const
 {
     std::vector<membership::member_description> members;
+    log::grouped_event unreadable(log_part, "registration_unreadable");
     for (const auto& [name, object] : this->mirrors.at(collection::instances).objects()) {
         try {
             members.push_back(decode_registration(this->dialect.store.extract_body(object.text)));
         } catch (const buckthornhill::error& failure) {
-            log::event(log_part, "registration_unreadable", {{"name", name}, {"reason", failure.what()}});
+            unreadable.add({{"name", name}, {"reason", failure.what()}});
         }
     }
     return members;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -12,6 +12,10 @@
 #include "store/collection_mirror.h"
 #include "store/restore_reconciliation.h"
 
+namespace buckthornhill::log {
+class grouped_event;
+}
+
 namespace buckthornhill::gateway {
 struct peer_confirmation;
 struct peer_heartbeat;
@@ -85,7 +89,8 @@
     bool put_in_force(const store::stored_object& object, routing::routing_configuration configuration);
     void apply_upstreams(time_point now, const store::collection_update& update, bool may_have_lapsed);
     void apply_evacuations();
-    std::optional<fleet::upstream_entry> decode_upstream(const store::stored_object& object) const;
+    std::optional<fleet::upstream_entry> decode_upstream(const store::stored_object& object,
+                                                         log::grouped_event& unreadable) const;
 
     const gateway_dialect& dialect;
     proxy::proxy_core& core;
--- a/src/gateway/quarantine_archive.cpp
+++ b/src/gateway/quarantine_archive.cpp
@@ -8,6 +8,7 @@
 #include "gateway/crash_message_codec.h"
 #include "gateway/gateway_translation.h"
 #include "global/error.h"
+#include "global/grouped_event.h"
 #include "global/log.h"
 
 namespace buckthornhill::gateway {
@@ -19,7 +20,8 @@
 using write_result = archive_schedule::write_result;
 
 namespace {
-constexpr std::string_view log_part = "quarantine";
+constexpr const char* log_part = "quarantine";
+constexpr const char* unreadable_event = "archive_unreadable";
 constexpr std::chrono::milliseconds check_interval{100};
 constexpr std::chrono::milliseconds call_timeout{1500};
 //! Between reads of a process that has not read the archive yet, and at least between any two.
@@ -193,9 +195,10 @@
     try {
         page = this->dialect.decode_page(result.response.body);
     } catch (const error& failure) {
-        log::event(log_part, "archive_unreadable", {{"reason", failure.what()}});
+        log::event(log_part, unreadable_event, {{"reason", failure.what()}});
         return;
     }
+    log::grouped_event unreadable(log_part, unreadable_event);
     for (const auto& object : page.objects) {
         try {
             auto report = decode(this->dialect.extract_body(object.text));
@@ -203,7 +206,7 @@
                 reports.push_back(std::move(report));
             }
         } catch (const error& failure) {
-            log::event(log_part, "archive_unreadable", {{"name", object.name}, {"reason", failure.what()}});
+            unreadable.add({{"name", object.name}, {"reason", failure.what()}});
         }
     }
     if (!reports.empty()) {
@@ -215,7 +218,7 @@
         return;
     }
     if (step == store::list_cursor::step::stuck) {
-        log::event(log_part, "archive_unreadable", {{"reason", "the list does not go on"}});
+        log::event(log_part, unreadable_event, {{"reason", "the list does not go on"}});
         return;
     }
     this->has_read_all = true;
--- a/src/gateway/tests/fleet_view_tests.cpp
+++ b/src/gateway/tests/fleet_view_tests.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "captured_log.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_errors.h"
 
@@ -86,3 +87,36 @@
     fixture.view.apply({}, nothing);
     CHECK_FALSE(fixture.view.has_current_configuration());
 }
+
+//! Guards against a log that grows with the number of odd entries on each pass over a list.
+TEST_CASE(
+    "[GIVEN] many entries that cannot be decoded [WHEN] they are listed or change [THEN] one line tells how "
+    "many",
+    "[gateway][pattern: malformed messages]")
+{
+    constexpr int odd_count = 300;
+    view_fixture fixture;
+    fixture.dialect.decode_upstream = [](const std::string&, const std::string&) -> fleet::upstream_entry {
+        throw gateway_error("odd");
+    };
+    fixture.dialect.store.extract_body = [](const std::string&) -> std::string {
+        throw gateway_error("odd");
+    };
+    const testing::captured_log log;
+    for (const bool is_snapshot : {true, false}) {
+        for (const auto which : {collection::upstreams, collection::instances}) {
+            store::collection_update update;
+            update.which = which;
+            update.is_snapshot = is_snapshot;
+            update.version = object_version(is_snapshot ? 1 : 2);
+            for (int i = 0; i < odd_count; ++i) {
+                update.changes.push_back({{"odd" + std::to_string(i), "7", update.version}, false});
+            }
+            fixture.view.apply({}, update);
+        }
+    }
+    CHECK(log.count("upstream_entry_unreadable") == 2);
+    CHECK(fixture.view.registered_instances().empty());
+    CHECK(log.count("registration_unreadable") == 1);
+    CHECK(log.count("\"count\":300") == 3);
+}
