Read the configuration only from the object that the operator writes

What callers saw: with strict revocation, an entry of another writer among the configurations, under any name behind the operator's, and all instances restarted: no request with a key was served while the entry stood.

Cause: every object of the collection counted as the configuration. One that cannot be decoded meant that a valid version may have been missed before it, so no instance confirmed the one in force, and requests with keys depend on that. A valid object with a higher version, of whoever, came into force, and kept the operator's current after its removal.

Change: the adapter names the operator's object; others of the collection hold no configuration and are logged as configuration_ignored.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -126,7 +126,9 @@
         this->apply_evacuations();
     } else if (which == collection::configuration) {
         for (const auto& name : decision.accepted) {
-            this->apply_configuration_object(mirror.objects().at(name), false);
+            if (name == this->dialect.configuration_name) {
+                this->apply_configuration_object(mirror.objects().at(name), false);
+            }
         }
     }
 }
@@ -215,8 +217,12 @@
     //! NOTE Only the store's own changes show all versions.
     const bool shows_all_versions = !update.is_snapshot && update.asked_at.count() != 0;
     const auto& restored = this->mirrors.at(collection::configuration).restored();
+    log::grouped_event ignored(log_part, "configuration_ignored");
     for (const auto& change : update.changes) {
-        if (!change.is_removed && !restored.held_back().contains(change.object.name)) {
+        const auto& name = change.object.name;
+        if (name != this->dialect.configuration_name) {
+            ignored.add({{"name", name}});
+        } else if (!change.is_removed && !restored.held_back().contains(name)) {
             this->apply_configuration_object(change.object, shows_all_versions);
         }
     }
@@ -232,10 +238,7 @@
         const auto version = configuration.version;
         this->store_configuration = std::max(this->store_configuration, version);
         this->put_in_force(object, std::move(configuration));
-        //! NOTE Another object may hold the version in force.
-        const bool is_only_object = mirror.objects().size() == 1;
-        this->is_configuration_current =
-            version == this->core.routes().version() || (this->is_configuration_current && !is_only_object);
+        this->is_configuration_current = version == this->core.routes().version();
     } catch (const buckthornhill::error& failure) {
         //! NOTE Before an invalid one that comes otherwise there may have been a valid one that was missed.
         this->is_configuration_current = this->is_configuration_current && (is_known || shows_all_versions);
@@ -246,7 +249,8 @@
 
 bool fleet_view::has_current_configuration() const
 {
-    return this->is_configuration_current && !this->mirrors.at(collection::configuration).objects().empty();
+    const auto& objects = this->mirrors.at(collection::configuration).objects();
+    return this->is_configuration_current && objects.contains(this->dialect.configuration_name);
 }
 
 bool fleet_view::is_confirmed_by(const store::collection_update& update) const
--- a/src/gateway/gateway_dialect.h
+++ b/src/gateway/gateway_dialect.h
@@ -72,6 +72,8 @@
     std::function<http::http_response(const std::vector<std::string>& addresses,
                                       std::chrono::milliseconds ttl)>
         write_lookup;
+    //! Name of the object that holds the operator's configuration; other objects of its collection hold none.
+    std::string configuration_name;
     std::function<routing::routing_configuration(const std::string& object)> decode_configuration;
     std::function<fleet::upstream_entry(const std::string& name, const std::string& object)> decode_upstream;
     store::store_dialect store;
--- a/src/gateway/tests/fleet_view_tests.cpp
+++ b/src/gateway/tests/fleet_view_tests.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "captured_log.h"
@@ -14,6 +16,7 @@
 {
     view_fixture()
     {
+        this->dialect.configuration_name = "main";
         this->dialect.decode_configuration = [](const std::string& text) {
             if (text.empty() || text.front() < '0' || text.front() > '9') {
                 throw gateway_error("invalid");
@@ -88,6 +91,49 @@
     CHECK_FALSE(fixture.view.has_current_configuration());
 }
 
+//! Guards against an odd entry beside the configuration that makes all instances refuse requests with keys,
+//! since none can confirm the one in force.
+TEST_CASE("[GIVEN] an invalid object beside the configuration [WHEN] the collection is listed [THEN] the "
+          "configuration in force is current",
+          "[gateway][accounts]")
+{
+    const auto* name = GENERATE("a&x", "z x");
+    view_fixture fixture;
+    store::collection_update update;
+    update.is_snapshot = true;
+    update.asked_at = std::chrono::seconds(1);
+    update.version = object_version(7);
+    update.changes = {{{"main", "1", object_version(5)}, false}, {{name, "odd", object_version(6)}, false}};
+    std::ranges::sort(update.changes, {}, [](const auto& change) { return change.object.name; });
+    const bool is_listed_twice = GENERATE(false, true);
+    if (is_listed_twice) {
+        fixture.view.apply({}, update);
+        update.version = object_version(8);
+    }
+    fixture.view.apply({}, update);
+    CHECK(fixture.view.has_current_configuration());
+    CHECK(fixture.view.is_confirmed_by(update));
+}
+
+//! Guards against a configuration of another writer that comes into force, and against one that keeps the
+//! operator's in force after its removal.
+TEST_CASE("[GIVEN] a valid object beside the configuration [WHEN] it is newer [THEN] it is no configuration",
+          "[gateway][accounts]")
+{
+    view_fixture fixture;
+    store::collection_update update;
+    update.is_snapshot = true;
+    update.version = object_version(7);
+    update.changes = {{{"main", "1", object_version(5)}, false}, {{"main x", "2", object_version(6)}, false}};
+    fixture.view.apply({}, update);
+    CHECK(fixture.core.routes().version() == routing::configuration_version(1));
+    CHECK(fixture.view.has_current_configuration());
+    update.version = object_version(8);
+    update.changes.erase(update.changes.begin());
+    fixture.view.apply({}, update);
+    CHECK_FALSE(fixture.view.has_current_configuration());
+}
+
 //! Guards against a log that grows with the number of odd entries on each pass over a list.
 TEST_CASE(
     "[GIVEN] many entries that cannot be decoded [WHEN] they are listed or change [THEN] one line tells how "
--- a/src/gateway/tests/restored_view_tests.cpp
+++ b/src/gateway/tests/restored_view_tests.cpp
@@ -20,6 +20,7 @@
 gateway_dialect make_dialect()
 {
     gateway_dialect dialect;
+    dialect.configuration_name = "main";
     dialect.decode_configuration = [](const std::string& text) {
         if (text == "invalid") {
             throw gateway_error(text);
--- a/tools/soak/tests/odd_entry_tests.cpp
+++ b/tools/soak/tests/odd_entry_tests.cpp
@@ -21,10 +21,12 @@
 constexpr std::size_t page_size = 1; //!< so that each list continues behind each name
 constexpr const char* service = "stock";
 constexpr const char* domain = "north-a";
+constexpr const char* key = "k1";
 constexpr milliseconds caller_patience{1500};
 constexpr milliseconds startup_time{4000};
 constexpr std::size_t request_count = 30;
-constexpr std::array listed_kinds{"servers", "evacuations", "entry-instances", "quarantined-requests"};
+constexpr std::array listed_kinds{"config", "servers", "evacuations", "entry-instances",
+                                  "quarantined-requests"};
 
 //! Gateways of one failure domain and upstreams `m0` and so on, in front of a store that lists in small
 //! pages.
@@ -36,7 +38,7 @@
         , client(this->context, http::client_limits{})
     {
         this->store.set_page_size(page_size);
-        put_configuration(this->store, 1, {{"/read/", service, true}});
+        put_configuration(this->store, 1, {{"/read/", service, true}}, {}, {{"t1", {key}}});
         for (std::size_t i = 0; i < upstream_count; ++i) {
             upstream_traits traits;
             traits.id = "m" + std::to_string(i);
@@ -49,8 +51,9 @@
         const auto directory =
             std::filesystem::temp_directory_path() / ("bth-odd-entries-" + std::to_string(getpid()));
         std::filesystem::create_directories(directory);
-        const std::string settings = "region-of-domain = north-a=north\nseed = " + loopback_address_of(0) +
-                                     ":" + std::to_string(gateway_process::peers_port) + "\n";
+        const std::string settings =
+            "region-of-domain = north-a=north\nbound = strict_revoke=true\nbound = revoke=4s\nseed = " +
+            loopback_address_of(0) + ":" + std::to_string(gateway_process::peers_port) + "\n";
         for (std::size_t i = 0; i < gateway_count; ++i) {
             const gateway_identity identity{"g" + std::to_string(i), domain, loopback_address_of(i)};
             this->gateways.push_back(std::make_unique<gateway_process>(
@@ -98,7 +101,8 @@
         std::size_t ended_count = 0;
         for (std::size_t i = 0; i < request_count; ++i) {
             const auto number = std::to_string(++this->sent);
-            const auto request = make_request("GET", "/read/" + number, "r" + number, caller_patience);
+            auto request = make_request("GET", "/read/" + number, "r" + number, caller_patience);
+            set_api_key(request, key);
             this->client.send(this->gateways[i % gateway_count]->caller_endpoint(), request,
                               std::chrono::steady_clock::now() + caller_patience,
                               http::connection_choice::reuse, [&, request](const http::call_result& result) {
