Leave out entries of the daemon's list of instances that cannot be read

One entry or upstream of the list without a field, or with a number or text of the wrong kind, kept the whole list from being put in force: the instances knew of no change from then on, and the operators' tool ended with an error. One whose address is no address was put in force and ended each round of messages at it.

Addresses were not checked. The daemon's targets hold no text of others, and its lists have no pages, so the other causes of this issue do not exist there.

Change: entries and upstreams that cannot be read, or have no address, are left out and the daemon logs how many, with the reason of the first. The operators' status shows them as entries that cannot be read. Lists that operators write are still refused as a whole, with the place of the error. The simulation of the node module names instances and upstreams by addresses now, where it used their ids; its checks are unchanged.

--- a/src/daemon/request_engine.cpp
+++ b/src/daemon/request_engine.cpp
@@ -248,6 +248,7 @@
         std::string(lists::to_string(event.name)) + " version " + std::to_string(event.version.value());
     if (result == lists::offer_result::accepted) {
         log::info(log_part, "Document in force: " + document_description + ".");
+        this->report_unreadable_instances(event.name);
     } else if (result == lists::offer_result::rejected) {
         log::error(log_part, "Rejected " + document_description + ": " +
                                  this->node->components().lists.rejection_reason() + ".");
@@ -255,6 +256,16 @@
     this->run_actions();
 }
 
+void request_engine::report_unreadable_instances(lists::document_name name) const
+{
+    const auto& reasons = this->node->components().lists.instances().unreadable;
+    if (name == lists::document_name::instances && !reasons.empty()) {
+        log::warning(log_part, "Left out " + std::to_string(reasons.size()) +
+                                   " entries of the list of instances that cannot be read; the first: " +
+                                   reasons.front() + ".");
+    }
+}
+
 void request_engine::begin_leave()
 {
     log::info(log_part, "Leaving: peers take over the upstreams of this instance.");
--- a/src/daemon/request_engine.h
+++ b/src/daemon/request_engine.h
@@ -74,6 +74,7 @@
     void on_tick();
     void update_gauges();
     void register_seed_peers();
+    void report_unreadable_instances(lists::document_name name) const;
     http::http_request make_peer_message(std::string_view path, std::string body) const;
 
     daemon_configuration configuration;
--- a/src/lists/list_codec.cpp
+++ b/src/lists/list_codec.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include "global/json_reader.h"
+#include "http/http_types.h"
 #include "lists/lists_errors.h"
 
 namespace buckthornhill::lists {
@@ -45,6 +46,29 @@
     }
 }
 
+//! Like `for_each_element`, for elements of different writers: those that cannot be read are left out.
+//! Returns why.
+template <typename Visit>
+std::vector<std::string> for_each_readable_element(const json_reader& reader, std::string_view key,
+                                                   const Visit& visit)
+{
+    std::vector<std::string> reasons;
+    const auto count = reader.array(key).size();
+    for (std::size_t i = 0; i < count; ++i) {
+        try {
+            visit(reader.element(key, i));
+        } catch (const error& failure) {
+            reasons.emplace_back(failure.what());
+        }
+    }
+    return reasons;
+}
+
+std::string address_text(const json_reader& reader, std::string_view key)
+{
+    return http::parse_endpoint(non_empty_text(reader, key)).str();
+}
+
 customer_entry parse_customer(const json_reader& reader, const std::set<plan_id>& plans)
 {
     reader.allow_only("name plan");
@@ -171,8 +195,8 @@
     entry.id = instance_id(non_empty_text(reader, "id"));
     entry.region = region_id(non_empty_text(reader, "region"));
     entry.domain = domain_id(non_empty_text(reader, "domain"));
-    entry.peer_address = non_empty_text(reader, "peer_address");
-    entry.caller_address = non_empty_text(reader, "caller_address");
+    entry.peer_address = address_text(reader, "peer_address");
+    entry.caller_address = address_text(reader, "caller_address");
     return entry;
 }
 
@@ -183,7 +207,7 @@
     upstream.service = service_id(non_empty_text(reader, "service"));
     upstream.region = region_id(non_empty_text(reader, "region"));
     upstream.domain = domain_id(non_empty_text(reader, "domain"));
-    upstream.address = non_empty_text(reader, "address");
+    upstream.address = address_text(reader, "address");
     upstream.slots = slot_count(reader.integer("slots"));
     upstream.is_leaving = reader.text_or("state", "live") == "leaving";
     return upstream;
@@ -194,10 +218,13 @@
     const auto value = parse_json(body, "instances");
     const json_reader reader(value, "instances");
     instances_list list;
-    for_each_element(reader, "entries",
-                     [&](const json_reader& element) { list.entries.push_back(parse_entry(element)); });
-    for_each_element(reader, "upstreams",
-                     [&](const json_reader& element) { list.upstreams.push_back(parse_upstream(element)); });
+    list.unreadable = for_each_readable_element(
+        reader, "entries", [&](const json_reader& element) { list.entries.push_back(parse_entry(element)); });
+    const auto odd_upstreams =
+        for_each_readable_element(reader, "upstreams", [&](const json_reader& element) {
+            list.upstreams.push_back(parse_upstream(element));
+        });
+    list.unreadable.insert(list.unreadable.end(), odd_upstreams.begin(), odd_upstreams.end());
     return list;
 }
 
--- a/src/lists/lists_types.h
+++ b/src/lists/lists_types.h
@@ -68,6 +68,7 @@
 {
     std::vector<membership::member_description> entries;
     std::vector<ownership::upstream_description> upstreams;
+    std::vector<std::string> unreadable; //!< why elements of the list were left out
 };
 
 //! One of a document's last edits, which are kept in the document with the newest last. They show whether an
--- a/src/lists/tests/lists_tests.cpp
+++ b/src/lists/tests/lists_tests.cpp
@@ -3,6 +3,7 @@
 #include "lists/list_codec.h"
 #include "lists/list_edit.h"
 #include "lists/list_state.h"
+#include "lists/lists_errors.h"
 
 using namespace buckthornhill;
 using namespace buckthornhill::lists;
@@ -60,3 +61,40 @@
         REQUIRE(edit.result() == edit_result::unknown);
     }
 }
+
+//! Guards against one odd entry of another writer that hides the whole list, or whose address ends a round of
+//! messages.
+SCENARIO("odd elements in the list of instances are left out", "[lists]")
+{
+    // [GIVEN] A list in which one entry and one upstream are sound
+    const std::string places = R"("region":"r","domain":"d",)";
+    const std::string entry =
+        R"({"id":"e1",)" + places + R"("peer_address":"127.0.0.1:1","caller_address":"127.0.0.1:2"})";
+    const std::string upstream =
+        R"({"id":"u1","service":"s",)" + places + R"("address":"127.0.0.1:3","slots":4})";
+    for (const auto& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{{entry, "7"},
+                                                          {entry, "{}"},
+                                                          {"\"e1\"", "\"\""},
+                                                          {"127.0.0.1:1", "nowhere"},
+                                                          {"127.0.0.1:2", "127.0.0.1:70000"},
+                                                          {upstream, "null"},
+                                                          {"127.0.0.1:3", ":"},
+                                                          {"\"slots\":4", "\"slots\":\"many\""}}) {
+        const auto odd_of = [&from = from, &to = to](std::string text) {
+            const auto at = text.find(from);
+            return at == std::string::npos ? std::string() : text.replace(at, from.size(), to) + ",";
+        };
+        INFO(from << " -> " << to);
+        // [WHEN] An odd one stands before it [THEN] the sound ones hold, and the list says why one is missing
+        std::string body = R"({"entries":[)";
+        body.append(odd_of(entry)).append(entry).append(R"(],"upstreams":[)");
+        body.append(odd_of(upstream)).append(upstream).append("]}");
+        const auto list = parse_instances(body);
+        REQUIRE(list.entries.size() == 1);
+        REQUIRE(list.upstreams.size() == 1);
+        REQUIRE(list.unreadable.size() == 1);
+        REQUIRE(list.unreadable[0].size() > 5);
+    }
+    REQUIRE_THROWS_AS(parse_instances(R"({"entries":7})"), lists_error);
+}
--- a/src/node/tests/cluster_simulation.cpp
+++ b/src/node/tests/cluster_simulation.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds leave_grace{3000}; //!< the brief allows a few seconds
 constexpr milliseconds request_timeout{1500};
 const service_id test_service("orders");
+const std::string instance_host = "10.0.0.1:"; //!< the port is the instance's index
 } // namespace
 
 struct cluster_simulation::simulated_instance
@@ -76,7 +77,7 @@
             description.service = test_service;
             description.region = region_id("r" + std::to_string(domain % this->options.regions));
             description.domain = domain_id("d" + std::to_string(domain));
-            description.address = description.id.str();
+            description.address = "10.1.0.1:" + std::to_string(1 + this->upstreams.size());
             description.slots = slot_count(this->options.slots);
             this->upstreams.emplace(description.id.str(), std::move(upstream));
         }
@@ -131,8 +132,8 @@
     self.incarnation = incarnation_id(instance.incarnation);
     self.region = region_id("r" + std::to_string(this->region_of(index)));
     self.domain = domain_id("d" + std::to_string(static_cast<int>(index) % (this->options.regions * 2)));
-    self.peer_address = self.id.str();
-    self.caller_address = self.id.str();
+    self.peer_address = instance_host + std::to_string(index);
+    self.caller_address = self.peer_address;
     node_configuration configuration;
     configuration.requests.ticket_window = 1U << 14;
     instance.node = std::make_unique<entry_node>(self, configuration, [this] { return this->random(); });
@@ -444,7 +445,7 @@
 
 void cluster_simulation::perform(std::size_t index, const fetch_document_action& action)
 {
-    const auto target = this->index_of(instance_id(action.address));
+    const auto target = static_cast<std::size_t>(std::stoul(action.address.substr(instance_host.size())));
     const auto incarnation = this->instances[index]->incarnation;
     if (this->is_partitioned(index, target) || this->instances[target]->incarnation == 0) {
         return;
@@ -521,7 +522,7 @@
                         {"service", description.service.str()},
                         {"region", description.region.str()},
                         {"domain", description.domain.str()},
-                        {"address", id},
+                        {"address", description.address},
                         {"slots", description.slots.value()},
                         {"state", upstream->is_leaving ? "leaving" : "live"}});
     }
--- a/src/operators/fleet_access.h
+++ b/src/operators/fleet_access.h
@@ -8,11 +8,16 @@
 #include "operators/operators_types.h"
 #include "operators/store_access.h"
 
+namespace buckthornhill {
+class json_reader;
+}
+
 namespace buckthornhill::operators {
 struct instance_status
 {
-    std::string id;
-    std::string address; //!< address of its operators' listener
+    std::string id;          //!< the entry's place in the list when it cannot be read
+    std::string address;     //!< address of its operators' listener
+    bool is_readable = true; //!< false for an entry of the list that names no instance
     bool is_answering = false;
     boost::json::value status;
 };
@@ -27,6 +32,8 @@
     std::vector<std::string> caller_addresses() const;
 
 private:
+    instance_status status_of(const json_reader& list, std::size_t index) const;
+
     const operators_configuration& configuration;
     const store_access& store;
 };
--- a/src/operators/list_commands.cpp
+++ b/src/operators/list_commands.cpp
@@ -205,9 +205,10 @@
         outdated_instances.clear();
         for (const auto& instance : fleet.statuses()) {
             const bool is_current =
-                instance.is_answering &&
-                instance.status.at("versions").at(lists::to_string(name)).to_number<std::uint64_t>() >=
-                    version.value();
+                !instance.is_readable ||
+                (instance.is_answering &&
+                 instance.status.at("versions").at(lists::to_string(name)).to_number<std::uint64_t>() >=
+                     version.value());
             outdated_instances += is_current ? "" : " " + instance.id;
         }
         if (outdated_instances.empty()) {
--- a/src/operators/report_commands.cpp
+++ b/src/operators/report_commands.cpp
@@ -139,7 +139,8 @@
         {"instance", "region", "domain", "state", "plans", "quotas", "drains", "confirmed", "flows"});
     for (const auto& instance : statuses) {
         if (!instance.is_answering) {
-            instances.add({instance.id, "-", "-", "does not respond"});
+            const auto* state = instance.is_readable ? "does not respond" : "cannot be read";
+            instances.add({instance.id, "-", "-", state});
             continue;
         }
         const auto& status = instance.status;
