Do not take a reset during an upload for the end of a response

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the kernel reports a reset to the first call on the socket. Here that is the write of the request, whose failure was ignored on purpose, since a server may answer and stop reading. The read then gets the bytes that had arrived and the end of the stream, just as after an orderly close, and the end completes a response without a length. Short uploads are in the kernel's buffers by then, so the read gets the error.

Change: the error of the write is kept. If it is any but EPIPE, the stream did not end in order, and a response that needs its end is broken. EPIPE says that the end had arrived before the reset, so the response is complete. If the end comes while the write of a dead connection has not ended yet, the call waits for it. Responses that tell their own end are as before. Others that read to the end of a stream were looked at: only requests to upstreams accept a response without a length; peers, the store and the daemon refuse it, and callers always get a length.

--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 
 namespace buckthornhill::http {
 namespace asio = boost::asio;
@@ -41,6 +42,7 @@
     this->options = std::move(options_to_use);
     this->is_busy = true;
     this->was_sent = false;
+    this->awaits_write_result = false;
     this->skipped_responses = 0;
     auto& message = this->outgoing.emplace();
     message.method_string(request.method);
@@ -115,7 +117,7 @@
     this->was_sent = true;
     this->is_writing = true;
     //! NOTE The response may arrive before the request is written, and the server may then stop reading. A
-    //! failed write is therefore ignored: the read gets the response or the end of the connection.
+    //! failed write therefore does not end the call: the read gets the response or the end of the connection.
     beast_http::async_write(this->socket, *this->outgoing,
                             [self = pointer(this)](const boost::system::error_code& failure, std::size_t) {
                                 self->on_request_written(failure);
@@ -126,10 +128,13 @@
 void client_connection::on_request_written(const boost::system::error_code& failure)
 {
     this->is_writing = false;
-    //! NOTE The server would take the next request for the rest of this one.
-    this->has_write_failed = this->has_write_failed || failure;
+    if (failure) {
+        this->write_failure = failure;
+    }
     if (this->closes_after_request) {
         this->close();
+    } else if (this->is_busy && this->awaits_write_result) {
+        this->on_response();
     }
 }
 
@@ -206,8 +211,32 @@
     this->read();
 }
 
+client_connection::stream_end client_connection::how_stream_ended()
+{
+    //! NOTE The kernel reports a reset once. When the write gets that error, the read gets the bytes that had
+    //! arrived, and then the end of the stream as after an orderly close. When the end had arrived before the
+    //! reset, the write gets EPIPE.
+    if (this->write_failure) {
+        return this->write_failure == asio::error::broken_pipe ? stream_end::orderly : stream_end::reset;
+    }
+    pollfd state{this->socket.native_handle(), 0, 0};
+    const bool is_dead = ::poll(&state, 1, 0) > 0 && (state.revents & POLLHUP) != 0;
+    return this->is_writing && is_dead ? stream_end::undecided : stream_end::orderly;
+}
+
 void client_connection::on_response()
 {
+    if (this->parser->need_eof()) {
+        const auto end = this->how_stream_ended();
+        if (end == stream_end::undecided) {
+            this->awaits_write_result = true;
+            return;
+        }
+        if (end == stream_end::reset) {
+            this->finish(call_status::broken, "the connection was reset before the end of the response");
+            return;
+        }
+    }
     auto message = this->parser->release();
     if (message.result_int() < first_final_status) {
         this->skip_response();
@@ -239,9 +268,10 @@
         }
         return;
     }
+    //! NOTE After a failed write the server would take the next request for the rest of this one.
     const bool is_reusable = message.keep_alive() && has_length && this->buffer.size() == 0 &&
                              !this->has_received_unexpected_response && !this->is_writing &&
-                             !this->has_write_failed;
+                             !this->write_failure;
     //! NOTE A server that answers early may still read the body, and must not find it cut.
     this->closes_after_request = this->is_writing && message.result_int() < first_failure_status;
     this->is_busy = false;
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -70,6 +70,12 @@
     //! Whether the body that is announced or has come fits into the memory budget.
     bool reserve_memory();
     void on_response();
+    enum class stream_end {
+        orderly,
+        reset,    //!< bytes of the response may be missing
+        undecided //!< until the write in progress ends
+    };
+    stream_end how_stream_ended();
     //! Waits for the next response; the last one does not answer the call.
     void skip_response();
     void finish(call_status status, const std::string& detail);
@@ -92,7 +98,8 @@
     bool was_sent = false;
     bool is_busy = false;
     bool is_writing = false;
-    bool has_write_failed = false;
+    boost::system::error_code write_failure;
+    bool awaits_write_result = false;  //!< which tells whether the response is complete
     bool closes_after_request = false; //!< the call is over, and the rest of its request is being written
 };
 } // namespace buckthornhill::http
