--- a/src/http/tests/malformed_response_tests.cpp
+++ b/src/http/tests/malformed_response_tests.cpp
@@ -1,4 +1,5 @@
 #include <future>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -49,3 +50,59 @@
     CHECK(result.status == call_status::complete);
     CHECK(result.response.status == status);
 }
+
+namespace {
+//! Lines of a head that are no fields by RFC 9110, 5.1 and 5.5, or RFC 9112, 5.
+const std::vector<std::string> malformed_lines{
+    "Odd Name: 1",
+    "Odd\tName: 1",
+    std::string("Odd\0Name: 1", 11),
+    "Odd\x01Name: 1",
+    "Odd\x7FName: 1",
+    "Odd\x80Name: 1",
+    "Odd(Name): 1",
+    "Odd : 1",
+    "Content-Length : 4",
+    "Transfer-Encoding : chunked",
+    "Transfer-Encoding\t: chunked",
+    "Content Length: 4",
+    ": 1",
+    "no colon",
+    " folded: 1",
+    std::string("Odd: a\0b", 8),
+    "Odd: a\x01!",
+    "Odd: a\rb",
+    "Content-Length: 4\r",
+};
+} // namespace
+
+//! Guards against a response that reaches the caller with a line that is no field, or with a body that this
+//! line delimits.
+TEST_CASE(
+    "[GIVEN] a response with a line that is no field [WHEN] a call gets it [THEN] the call is broken at once",
+    "[http][pattern: malformed responses]")
+{
+    const auto line = GENERATE(from_range(malformed_lines));
+    const bool is_first = GENERATE(true, false);
+    const auto* framing = GENERATE("", "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n");
+    CAPTURE(line, is_first, framing);
+    if (line.starts_with(' ') && !is_first) {
+        return; //!< it continues the field before it (RFC 9112, 5.2)
+    }
+    std::promise<void> is_call_finished;
+    scripted_server server([&](tcp::socket& socket) {
+        read_request(socket);
+        const auto fields = is_first ? line + "\r\n" + framing : framing + line + "\r\n";
+        const auto head = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+        boost::asio::write(socket, boost::asio::buffer(head + "4\r\nbody\r\n0\r\n\r\n"));
+        is_call_finished.get_future().wait();
+    });
+    auto options = options_for(milliseconds(3000));
+    options.accepts_unframed_body = true;
+    const auto started = std::chrono::steady_clock::now();
+    const auto result = call(server.address(), std::move(options));
+    is_call_finished.set_value();
+    CHECK(result.status == call_status::broken);
+    CHECK(result.was_sent);
+    CHECK(std::chrono::steady_clock::now() - started < milliseconds(2500));
+}
