End the largest response without a known end when another does not fit into memory

What callers saw: while many upstreams sent bodies without end, a caller of a sound upstream now and then got 502 for a small response that was complete, after its request had run.

Cause: endless bodies filled the memory budget, and whichever response asked for memory next was refused, however small. The memory of a call that ended was held until its pending read had been cancelled, so ending one made no room at once either.

Change: when a response does not fit only because of what others hold, the largest of those in progress whose end is not known ends, if it is larger than what is needed. One that tells its length is not ended for another. A call that ends gives its memory back at once.

--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -194,7 +194,18 @@
         return true;
     }
     const std::size_t announced = this->parser->is_done() ? 0 : this->parser->content_length().value_or(0);
-    return this->memory->try_resize(std::max(announced, this->parser->get().body().capacity()));
+    const auto wanted = std::max(announced, this->parser->get().body().capacity());
+    while (this->memory->lacks_room_for(wanted) && this->callbacks.make_room(*this, wanted)) {
+    }
+    return this->memory->try_resize(wanted);
+}
+
+std::size_t client_connection::open_ended_bytes() const
+{
+    const bool is_in_progress = this->is_busy && this->memory != nullptr && this->parser->is_header_done() &&
+                                !this->parser->is_done();
+    const bool has_open_end = is_in_progress && (this->parser->need_eof() || this->parser->chunked());
+    return has_open_end ? this->memory->bytes() : 0;
 }
 
 void client_connection::fail_oversized_response()
@@ -287,6 +298,7 @@
 {
     const pointer keep(this);
     this->is_busy = false;
+    this->release_response();
     this->close();
     call_result result;
     result.status = status;
@@ -295,6 +307,15 @@
     this->callbacks.on_finished(keep, std::move(result), false);
 }
 
+void client_connection::release_response()
+{
+    //! NOTE The read in progress holds the connection until it has been cancelled.
+    if (this->parser) {
+        std::string().swap(this->parser->get().body());
+    }
+    this->memory.reset();
+}
+
 void client_connection::abandon(call_status status)
 {
     if (!this->is_busy) {
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -25,6 +25,9 @@
         std::function<void(const pointer&, call_result, bool is_reusable)> on_finished;
         //! More of the response is in memory than before.
         std::function<void()> on_buffer_growth;
+        //! The response needs so many bytes, which do not fit. Ends a larger one if that may help; returns
+        //! whether it did.
+        std::function<bool(const client_connection&, std::size_t bytes)> make_room;
     };
 
     client_connection(boost::asio::io_context& context, endpoint server, const client_limits& limits,
@@ -43,6 +46,8 @@
     time_point idle_since() const { return this->idle_start; }
     //! Of the response that is being read.
     std::size_t buffered_bytes() const { return this->is_busy ? this->response_bytes : 0; }
+    //! Memory of a response whose end is not known yet; 0 when it tells its length.
+    std::size_t open_ended_bytes() const;
     //! Of the last request and of what was read behind its response.
     std::size_t held_bytes() const
     {
@@ -79,6 +84,7 @@
     //! Waits for the next response; the last one does not answer the call.
     void skip_response();
     void finish(call_status status, const std::string& detail);
+    void release_response();
 
     boost::asio::ip::tcp::socket socket;
     endpoint remote;
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -116,6 +116,10 @@
                 self->enforce_buffer_limit();
             }
         };
+        hooks.make_room = [weak = this->weak_from_this()](const client_connection& needy, std::size_t bytes) {
+            const auto self = weak.lock();
+            return self != nullptr && self->make_room(needy, bytes);
+        };
         return {new client_connection(this->context, server, this->limits, std::move(hooks))};
     }
 
@@ -128,6 +132,19 @@
         }
     }
 
+    //! Ends the largest response without a known end if it is larger than what `needy` needs: it may never
+    //! end, while the other one may be complete.
+    bool make_room(const client_connection& needy, std::size_t bytes)
+    {
+        const auto largest = std::ranges::max_element(this->busy, {}, &client_connection::open_ended_bytes);
+        if (largest == this->busy.end() || &*largest == &needy || largest->open_ended_bytes() <= bytes) {
+            return false;
+        }
+        const client_connection::pointer connection(&*largest);
+        connection->fail_oversized_response();
+        return true;
+    }
+
     client_connection::pointer take_idle(const endpoint& server, connection_choice choice)
     {
         if (choice == connection_choice::fresh) {
--- a/src/http/internal/memory_budget.cpp
+++ b/src/http/internal/memory_budget.cpp
@@ -30,6 +30,12 @@
     return true;
 }
 
+bool memory_budget::lacks_room(std::size_t current_bytes, std::size_t wanted_bytes) const
+{
+    return wanted_bytes > current_bytes && wanted_bytes <= this->limits.message_bytes &&
+           wanted_bytes - current_bytes > this->limits.total_bytes - this->used;
+}
+
 memory_reservation::memory_reservation(memory_budget_ptr from, message_kind message)
     : budget(std::move(from))
     , kind(message)
@@ -50,6 +56,11 @@
     return true;
 }
 
+bool memory_reservation::lacks_room_for(std::size_t bytes) const
+{
+    return this->budget->lacks_room(this->reserved, bytes);
+}
+
 memory_reservation_ptr reserve_from(const memory_budget_ptr& budget, message_kind kind)
 {
     return budget == nullptr ? nullptr : memory_reservation_ptr(new memory_reservation(budget, kind));
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -36,6 +36,7 @@
     friend class memory_reservation;
 
     bool try_change(message_kind kind, std::size_t current_bytes, std::size_t wanted_bytes);
+    bool lacks_room(std::size_t current_bytes, std::size_t wanted_bytes) const;
 
     memory_limits limits;
     std::size_t used = 0;
@@ -57,6 +58,8 @@
 
     //! Grows or shrinks the reservation. False when `bytes` do not fit; nothing has changed then.
     bool try_resize(std::size_t bytes);
+    //! Whether `bytes` do not fit only because of what other messages hold.
+    bool lacks_room_for(std::size_t bytes) const;
     std::size_t bytes() const { return this->reserved; }
 
 private:
