--- a/review/standins-2/small_deployment.cpp
+++ b/review/standins-2/small_deployment.cpp
@@ -98,7 +98,9 @@
 {
     this->write_settings(how);
     for (const auto& zone : how.zones) {
-        this->add_upstream(zone);
+        if (how.has_upstreams) {
+            this->add_upstream(zone);
+        }
     }
     this->renew_registrations();
 }
@@ -112,6 +114,12 @@
     this->context.poll();
 }
 
+http::endpoint small_deployment::free_backend_endpoint()
+{
+    constexpr std::size_t backend_host = 100;
+    return free_endpoint(loopback_address(backend_host));
+}
+
 void small_deployment::write_settings(const deployment_options& how)
 {
     std::string shared;
--- a/review/standins-2/small_deployment.h
+++ b/review/standins-2/small_deployment.h
@@ -46,6 +46,7 @@
     std::vector<std::size_t> seed_gateways;
     std::size_t stale_seeds = 0;
     std::string directory; //!< for settings files and logs
+    bool has_upstreams = true;
 };
 
 class small_deployment
@@ -64,6 +65,8 @@
     void start_all();
     bool is_ready(std::size_t gateway);
     void run_for(std::chrono::milliseconds time);
+    //! At a loopback address that no gateway uses.
+    static http::endpoint free_backend_endpoint();
     http::endpoint caller_endpoint(std::size_t gateway) const;
     //! While the store is away, upstreams cannot renew their registrations.
     void set_store_away(bool is_away) { this->is_store_away = is_away; }
