--- a/review/standins-2/last_tenant_removed.cpp
+++ b/review/standins-2/last_tenant_removed.cpp
@@ -20,7 +20,7 @@
 struct sent_request
 {
     std::string key; //!< empty: none
-    milliseconds sent_at;
+    milliseconds sent_at{0};
 };
 
 void configure_tenant(small_deployment& deployment, case_record& record)
