--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-case_program=target/review-2/last_tenant_removed
+case_program=target/review-2/revoked_key_after_restore
 if [ ! -x "$case_program" ]; then
     echo "$case_program is missing: run the build of deploy/system.toml and review/build-2.sh first." >&2
     exit 2
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,7 +11,9 @@
 mkdir -p "$out"
 standins=platform/tests/standins
 shared=("$standins/platform_store.cpp" "$standins/platform_upstream.cpp" "$standins/platform_messages.cpp"
-    tests/support/child_process.cpp review/standins-2/small_deployment.cpp)
+    tests/support/child_process.cpp review/standins-2/small_deployment.cpp
+    review/standins-2/store_proxy.cpp)
+drivers=(review/standins-2/revoked_key_after_restore.cpp review/standins-2/removal_after_a_cut.cpp)
 flags=(-std=c++20 -O1 -DBOOST_LOG_DYN_LINK -Isrc "-I$standins" -Itests/support -Ireview/standins-2)
 libraries=(target/src/http/libbth_http.a target/src/global/libbth_global.a -lboost_json -lboost_log
     -lboost_thread -lz -lxxhash -lsodium -pthread)
@@ -25,8 +27,8 @@
 for source in "${shared[@]}"; do
     compile "$source"
 done
-for source in review/standins-2/*.cpp; do
-    [ "$source" = review/standins-2/small_deployment.cpp ] || compile "$source"
+for source in "${drivers[@]}"; do
+    compile "$source"
 done
 for pid in "${pids[@]}"; do
     wait "$pid"
@@ -35,9 +37,8 @@
 for source in "${shared[@]}"; do
     objects+=("$out/$(basename "$source" .cpp).o")
 done
-for source in review/standins-2/*.cpp; do
+for source in "${drivers[@]}"; do
     name=$(basename "$source" .cpp)
-    [ "$name" = small_deployment ] && continue
     echo "linking $out/$name"
     g++ "$out/$name.o" "${objects[@]}" "${libraries[@]}" -o "$out/$name"
 done
--- a/review/standins-2/small_deployment.h
+++ b/review/standins-2/small_deployment.h
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,13 +41,16 @@
 
 struct deployment_options
 {
-    std::vector<zone_description> zones; //!< with one gateway and one upstream in each
-    std::vector<std::string> bounds;     //!< `name=value`
+    std::vector<zone_description> zones; //!< with one gateway in each
+    std::size_t upstreams_per_zone = 1;
+    std::chrono::milliseconds processing_time{15}; //!< of the upstreams
+    std::vector<std::string> bounds;               //!< `name=value`
     //! Seeds of all gateways: the gateway of this zone, and addresses without a listener.
     std::vector<std::size_t> seed_gateways;
     std::size_t stale_seeds = 0;
     std::string directory; //!< for settings files and logs
-    bool has_upstreams = true;
+    //! The address at which the first gateway reaches the store, when it is not the store's own.
+    std::function<http::endpoint(boost::asio::io_context&, const http::endpoint& store)> first_gateway_store;
 };
 
 class small_deployment
@@ -66,7 +70,12 @@
     bool is_ready(std::size_t gateway);
     void run_for(std::chrono::milliseconds time);
     //! At a loopback address that no gateway uses.
-    static http::endpoint free_backend_endpoint();
+    static http::endpoint free_proxy_endpoint();
+    const std::string& upstream_id(std::size_t upstream) const { return this->upstreams[upstream]->id(); }
+    //! Its entry is removed, and it goes on serving.
+    void leave(std::size_t upstream);
+    //! Drops what it runs.
+    void end(std::size_t upstream);
     http::endpoint caller_endpoint(std::size_t gateway) const;
     //! While the store is away, upstreams cannot renew their registrations.
     void set_store_away(bool is_away) { this->is_store_away = is_away; }
@@ -89,11 +98,13 @@
     };
 
     void write_settings(const deployment_options& how);
-    void add_upstream(const zone_description& zone);
+    void add_upstream(const zone_description& zone, std::size_t number,
+                      std::chrono::milliseconds processing_time);
     void renew_registrations();
 
     case_record& record;
     std::vector<std::unique_ptr<platform::standins::platform_upstream>> upstreams;
+    std::set<std::string> left_upstreams;
     std::vector<gateway_instance> gateways;
     std::unique_ptr<http::http_client> checker;
     boost::asio::steady_timer renewal_timer{this->context};
