Believe a restored store only once witnesses were heard

Cause: a confirmation compared the store's configuration with the newest version that this instance knew from before the era. An instance that has just started knows none, so its first list confirmed whatever the restored store had, until the first heartbeat. Its log shows configuration_confirmed for version 1 some 0.7 s before it hears of a member. An instance that was frozen or cut off over the restore compared with its own outdated version.

Nothing that a store says shows what it has lost, so the first list of an era now confirms nothing. The instance asks others for the newest configuration from before (witness_search, configuration_floor): those that ran before the era, or that heard from one. Instances that have just started are no witnesses. A later heartbeat with a newer version takes confirmations back.

An assertion of restored_view_tests expected the fault (an instance that has just started is confirmed by the restored store) and is replaced by its opposite; other tests of the view now hear witnesses first, as instances do.

Without eras nothing is asked.

--- a/src/accounts/configuration_freshness.h
+++ b/src/accounts/configuration_freshness.h
@@ -27,6 +27,8 @@
     //! The same for an instance whose own confirmation had the given age when it answered. Its answer may
     //! have been delayed at any point, so the age counts from when the query was sent.
     void confirm_by_instance(std::chrono::nanoseconds asked_at, std::chrono::nanoseconds age);
+    //! The confirmations were given for a configuration that turned out not to be the newest.
+    void invalidate() { this->confirmed_at.reset(); }
     //! Empty when there was no confirmation yet.
     std::optional<std::chrono::nanoseconds> age(std::chrono::nanoseconds now) const;
     bool is_confirmed(std::chrono::nanoseconds now) const;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -53,7 +53,7 @@
     }
 }
 
-bool fleet_view::apply(time_point now, const store::collection_update& update)
+bool fleet_view::apply(time_point now, const store::collection_update& update, bool is_confirmed)
 {
     auto& mirror = this->mirrors.at(update.which);
     const bool was_known = mirror.is_known();
@@ -69,9 +69,10 @@
     switch (update.which) {
     case collection::configuration:
         if (is_new_era) {
-            this->newest_before_era = std::max(this->newest_before_era, this->core.routes().version());
-            this->store_configuration = {};
+            this->newest_before_era.begin_era(this->core.routes().version(), is_confirmed);
             this->is_configuration_current = false;
+        } else if (!was_known) {
+            this->newest_before_era.begin(update.era != store::store_era());
         }
         this->apply_configuration(update);
         break;
@@ -133,71 +134,6 @@
     }
 }
 
-bool fleet_view::has_store_caught_up() const
-{
-    return this->store_configuration >= this->newest_before_era;
-}
-
-bool fleet_view::on_era(store::store_era latest)
-{
-    const bool is_later = latest > this->latest_era;
-    this->latest_era = std::max(this->latest_era, latest);
-    return is_later;
-}
-
-void fleet_view::describe(peer_heartbeat& heartbeat) const
-{
-    heartbeat.changed_at = this->changed_versions();
-    heartbeat.era = this->latest_era;
-    if (this->latest_era != store::store_era()) {
-        heartbeat.newest_configuration = std::max(this->core.routes().version(), this->newest_before_era);
-        heartbeat.awaits_configuration = !this->has_store_caught_up();
-    }
-}
-
-bool fleet_view::on_heartbeat(const peer_heartbeat& heartbeat)
-{
-    if (this->is_known_from_before(heartbeat)) {
-        this->newest_before_era = std::max(this->newest_before_era, heartbeat.newest_configuration);
-    }
-    return this->on_era(heartbeat.era);
-}
-
-bool fleet_view::is_known_from_before(const peer_heartbeat& heartbeat) const
-{
-    const auto known = heartbeat.changed_at.find(collection::configuration);
-    const bool is_of_earlier_era = known != heartbeat.changed_at.end() &&
-                                   known->second.era < this->mirrors.at(collection::configuration).era();
-    return heartbeat.awaits_configuration || is_of_earlier_era;
-}
-
-bool fleet_view::lacks_configuration_of(const peer_heartbeat& heartbeat) const
-{
-    return this->is_known_from_before(heartbeat) &&
-           heartbeat.newest_configuration > this->core.routes().version();
-}
-
-store::collection_update fleet_view::configuration_in_force() const
-{
-    store::collection_update update;
-    update.is_snapshot = true;
-    if (!this->object_in_force.name.empty()) {
-        update.changes.push_back({this->object_in_force, false});
-    }
-    return update;
-}
-
-void fleet_view::take_configuration(const store::collection_update& from_peer)
-{
-    for (const auto& change : from_peer.changes) {
-        auto configuration = this->dialect.decode_configuration(change.object.text);
-        this->newest_before_era = std::max(this->newest_before_era, configuration.version);
-        if (this->put_in_force(change.object, std::move(configuration))) {
-            this->is_configuration_current = false;
-        }
-    }
-}
-
 bool fleet_view::put_in_force(const store::stored_object& object,
                               routing::routing_configuration configuration)
 {
@@ -236,7 +172,7 @@
     try {
         auto configuration = this->dialect.decode_configuration(object.text);
         const auto version = configuration.version;
-        this->store_configuration = std::max(this->store_configuration, version);
+        this->newest_before_era.on_store_version(version);
         this->put_in_force(object, std::move(configuration));
         this->is_configuration_current = version == this->core.routes().version();
     } catch (const buckthornhill::error& failure) {
@@ -253,28 +189,6 @@
     return this->is_configuration_current && objects.contains(this->dialect.configuration_name);
 }
 
-bool fleet_view::is_confirmed_by(const store::collection_update& update) const
-{
-    const bool is_from_store = update.asked_at != std::chrono::nanoseconds{};
-    return is_from_store && update.era == this->latest_era && this->has_current_configuration() &&
-           this->has_store_caught_up();
-}
-
-bool fleet_view::is_confirmed_by(const peer_confirmation& confirmation) const
-{
-    return confirmation_source::is_valid(confirmation, this->core.routes().version()) &&
-           this->has_store_caught_up();
-}
-
-std::optional<peer_confirmation> fleet_view::own_confirmation(std::chrono::nanoseconds since_boot) const
-{
-    const auto age = this->core.freshness().age(since_boot);
-    if (!age || !this->has_store_caught_up()) {
-        return std::nullopt;
-    }
-    return peer_confirmation{this->core.routes().version(), *age};
-}
-
 std::optional<fleet::upstream_entry> fleet_view::decode_upstream(const store::stored_object& object,
                                                                  log::grouped_event& unreadable) const
 {
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 
+#include "gateway/configuration_floor.h"
 #include "gateway/gateway_dialect.h"
 #include "membership/membership_types.h"
 #include "proxy/proxy_core.h"
@@ -28,8 +29,9 @@
     fleet_view(const gateway_dialect& dialect, proxy::proxy_core& core,
                const store::reconciliation_configuration& reconciliation);
 
-    //! Returns whether the update was newer than the local copy.
-    bool apply(time_point now, const store::collection_update& update);
+    //! Returns whether the update was newer than the local copy. `is_confirmed`: the confirmation of the
+    //! configuration in force is still valid.
+    bool apply(time_point now, const store::collection_update& update, bool is_confirmed = false);
     //! Whether configuration, upstreams and evacuations are known, so that requests can be served.
     bool is_complete() const;
     //! Whether the configuration in force is the latest valid one that the store had when it sent the latest
@@ -54,10 +56,17 @@
     //! The latest era that is known, which the collections may not have reached yet.
     store::store_era era() const { return this->latest_era; }
 
+    //! What is known of the newest configuration from before the store's current era. Confirmations of the
+    //! configuration count only while the store is believed to have it.
+    const configuration_floor& floor() const { return this->newest_before_era; }
     //! Whether the configuration that the store has in its current era is at least as new as the newest that
-    //! this instance or a peer knows from before. A restored store may have an older one, which shows nothing
-    //! about the newest: confirmations of the configuration count only while this is true.
-    bool has_store_caught_up() const;
+    //! this instance or a peer is known to have had before.
+    bool has_store_caught_up() const { return this->newest_before_era.is_reached(); }
+    //! Witnesses of the newest configuration have been heard, or none is left.
+    void on_witnesses_heard() { this->newest_before_era.settle(); }
+    void on_no_witness_left() { this->newest_before_era.assume(); }
+    //! Quality of the sender as a witness for the era in which this instance knows the configuration.
+    witness_quality quality_of(const peer_heartbeat& heartbeat) const;
     //! Whether the update, which has been applied, shows that the store had no newer configuration than the
     //! one in force when it was asked.
     bool is_confirmed_by(const store::collection_update& update) const;
@@ -65,7 +74,7 @@
     //! matter here, since that instance's version is compared: after an invalid configuration, the followers
     //! of a relay have only its confirmations.
     bool is_confirmed_by(const peer_confirmation& confirmation) const;
-    //! What this instance says to followers and peers; nothing while its store has not caught up.
+    //! What this instance says to followers and peers; nothing while the store is not believed.
     std::optional<peer_confirmation> own_confirmation(std::chrono::nanoseconds since_boot) const;
     //! The configuration in force, which the store may not have, as an update for a peer that knows none as
     //! new.
@@ -75,13 +84,15 @@
     //! Whether the sender has a newer configuration in force that the store may lack.
     bool lacks_configuration_of(const peer_heartbeat& heartbeat) const;
     //! Writes what peers compare with their own view.
-    void describe(peer_heartbeat& heartbeat) const;
-    //! Takes over the sender's era if it is later. Returns whether it is.
+    void describe(peer_heartbeat& heartbeat, bool is_confirmed = false) const;
+    //! Takes over the sender's era if it is later, and what it knows from before. Returns whether its era is
+    //! later.
     bool on_heartbeat(const peer_heartbeat& heartbeat);
 
 private:
     void log_restore(const store::collection_update& update, store::store_era previous) const;
     bool is_known_from_before(const peer_heartbeat& heartbeat) const;
+    void raise_floor(routing::configuration_version version);
     void apply_configuration(const store::collection_update& update);
     //! `shows_all_versions`: no version of the object was missed before this one.
     void apply_configuration_object(const store::stored_object& object, bool shows_all_versions);
@@ -99,7 +110,6 @@
     store::collection_version latest_configuration; //!< of the latest object, valid or not
     store::stored_object object_in_force;           //!< of the configuration
     store::store_era latest_era;
-    routing::configuration_version store_configuration; //!< the newest that the store had in its current era
-    routing::configuration_version newest_before_era;   //!< known when the current era began, or to a peer
+    configuration_floor newest_before_era;
 };
 } // namespace buckthornhill::gateway
--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -51,6 +51,7 @@
                    [this](const upstream_run& run, bool has_ended, const std::string& evidence) {
                        this->on_upstream_checked(run, has_ended, evidence);
                    })
+    , witnesses(witness_search_limits(initial_settings))
     , pause_monitor(min_reported_pause)
 {
     this->core.set_boot_clock(time_since_boot);
@@ -98,6 +99,7 @@
     this->peers->on_tick(time);
     this->relay->on_tick(time);
     this->archive->on_tick(time);
+    this->search_witnesses(time);
     this->check_confirmation(time);
     this->limits->on_tick(time);
     if (this->plans != nullptr) {
@@ -124,7 +126,9 @@
     this->peers->on_pause(time);
     this->relay->on_pause(time);
     for (const auto which : store::all_collections) {
-        this->callbacks.on_refresh_needed(which);
+        if (which != store::collection::instances) {
+            this->callbacks.on_refresh_needed(which);
+        }
     }
 }
 
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -19,6 +19,7 @@
 #include "gateway/request_log.h"
 #include "gateway/store_relay.h"
 #include "gateway/upstream_end_detector.h"
+#include "gateway/witness_search.h"
 #include "global/pause_detector.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -105,6 +106,11 @@
     //! `update` has been applied.
     void on_store_confirmation(const store::collection_update& update);
     void on_relay_confirmation(std::chrono::nanoseconds asked_at, const peer_confirmation& confirmation);
+    bool is_confirmed() const;
+    //! The configuration has been received. Begins a search for witnesses if it is the first of its era.
+    void begin_witness_search(time_point now);
+    void search_witnesses(time_point now);
+    void conclude_witness_search(time_point now);
     //! Asks for confirmations and logs when they cease and return.
     void check_confirmation(time_point now);
     void update_confirmation_gauge();
@@ -161,6 +167,12 @@
     time_point next_capacity_gauge_update{};
     bool has_lost_sight = false;       //!< instances that were known lately are silent
     std::optional<bool> was_confirmed; //!< the configuration, when it was checked last
+    witness_search witnesses;
+    std::optional<store::store_era> searched_era; //!< of the latest search for witnesses
+    bool has_refreshed_instances = false;         //!< in this search
+    //! The store's latest answer about the configuration, without the changes. It counts as a confirmation
+    //! once witnesses have been heard.
+    store::collection_update latest_configuration_answer;
     pause_detector pause_monitor;
     leave_sequence leave;
 };
--- a/src/gateway/gateway_engine_accounts.cpp
+++ b/src/gateway/gateway_engine_accounts.cpp
@@ -10,6 +10,7 @@
 namespace buckthornhill::gateway {
 namespace {
 constexpr std::string_view log_part = "accounts";
+constexpr std::string_view witness_log_part = "witnesses";
 constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_forbidden = 403;
 
@@ -45,8 +46,68 @@
                                                    std::move(hooks));
 }
 
+bool gateway_engine::is_confirmed() const
+{
+    return this->core.freshness().is_confirmed(time_since_boot());
+}
+
+void gateway_engine::begin_witness_search(time_point now)
+{
+    const auto era = this->view.mirror(store::collection::configuration).era();
+    if (!this->view.floor().is_open() || this->searched_era == era) {
+        return;
+    }
+    this->searched_era = era;
+    this->has_refreshed_instances = false;
+    this->witnesses.begin(now, this->view.floor().quality());
+    log::event(witness_log_part, "witnesses_sought",
+               {{"era", era.value()}, {"own_quality", to_string(this->view.floor().quality())}});
+}
+
+void gateway_engine::search_witnesses(time_point now)
+{
+    if (this->witnesses.is_asking()) {
+        for (const auto& id : this->witnesses.take_targets(now, this->peers->candidates())) {
+            this->peers->send_heartbeat(now, id, [this, id](witness_search::result result) {
+                this->witnesses.on_result(id, result);
+                this->conclude_witness_search(std::chrono::steady_clock::now());
+            });
+        }
+        //! NOTE The copy may lack all instances that run. They have registered again meanwhile.
+        const bool is_late = 2 * this->witnesses.elapsed(now) >= this->settings.watcher.recovery_bound;
+        if (is_late && !std::exchange(this->has_refreshed_instances, true)) {
+            this->callbacks.on_refresh_needed(store::collection::instances);
+        }
+    }
+    this->conclude_witness_search(now);
+}
+
+void gateway_engine::conclude_witness_search(time_point now)
+{
+    const auto verdict = this->witnesses.decide(now);
+    if (verdict == witness_search::verdict::pending) {
+        return;
+    }
+    const bool is_settled = verdict == witness_search::verdict::settled;
+    if (is_settled) {
+        this->view.on_witnesses_heard();
+    } else {
+        this->view.on_no_witness_left();
+    }
+    log::event(witness_log_part, is_settled ? "witnesses_heard" : "no_witness_left",
+               {{"asked", this->witnesses.asked_count()},
+                {"ms", to_milliseconds(this->witnesses.elapsed(now))},
+                {"newest_before_era", this->view.floor().version().value()},
+                {"store_has_it", this->view.has_store_caught_up()}});
+    this->on_store_confirmation(this->latest_configuration_answer);
+}
+
 void gateway_engine::on_store_confirmation(const store::collection_update& update)
 {
+    if (update.asked_at != std::chrono::nanoseconds{}) {
+        this->latest_configuration_answer.era = update.era;
+        this->latest_configuration_answer.asked_at = update.asked_at;
+    }
     if (this->view.is_confirmed_by(update)) {
         this->core.freshness().confirm(update.asked_at);
     }
--- a/src/gateway/gateway_engine_parts.cpp
+++ b/src/gateway/gateway_engine_parts.cpp
@@ -62,7 +62,10 @@
             this->callbacks.on_era(heartbeat.era);
             this->on_era_changed(heartbeat.era);
         }
+        this->witnesses.on_witness(this->view.quality_of(heartbeat));
+        this->conclude_witness_search(now());
     };
+    hooks.is_confirmed = [this] { return this->is_confirmed(); };
     hooks.quarantined = [this] { return this->core.suspects().quarantined(now()); };
     hooks.on_quarantined = [this](const std::vector<quarantine::suspect_report>& reports) {
         this->crashes->on_reports(now(), reports);
--- a/src/gateway/gateway_engine_state.cpp
+++ b/src/gateway/gateway_engine_state.cpp
@@ -76,6 +76,7 @@
     }
     report["store_era"] = this->view.era().value();
     report["store_has_configuration"] = this->view.has_store_caught_up();
+    report["configuration_witness"] = to_string(this->view.floor().quality());
     report["store_versions"] = std::move(versions);
     return boost::json::serialize(report);
 }
--- a/src/gateway/gateway_engine_store.cpp
+++ b/src/gateway/gateway_engine_store.cpp
@@ -69,10 +69,11 @@
 {
     const auto time = now();
     this->on_era(update.era);
-    if (!this->view.apply(time, update)) {
+    if (!this->view.apply(time, update, this->is_confirmed())) {
         return;
     }
     if (update.which == store::collection::configuration) {
+        this->begin_witness_search(time);
         this->on_store_confirmation(update);
         this->on_configuration_applied(time);
     }
--- a/src/gateway/gateway_translation.cpp
+++ b/src/gateway/gateway_translation.cpp
@@ -135,6 +135,14 @@
     return limits;
 }
 
+witness_search_configuration witness_search_limits(const gateway_settings& settings)
+{
+    witness_search_configuration limits;
+    limits.assumption_delay = settings.watcher.recovery_bound;
+    limits.probation = settings.membership.gone_timeout;
+    return limits;
+}
+
 http::server_limits caller_limits_of(const gateway_settings& settings, const routing::caller_limits& limits,
                                      const http::memory_budget_ptr& memory)
 {
--- a/src/gateway/gateway_translation.h
+++ b/src/gateway/gateway_translation.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_dialect.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/witness_search.h"
 #include "http/http_types.h"
 #include "proxy/proxy_types.h"
 
@@ -28,6 +29,8 @@
 http::client_limits upstream_limits(const gateway_settings& settings, const http::memory_budget_ptr& memory);
 //! Limits for calls to other instances, whose messages may contain whole collections.
 http::client_limits peer_limits(const gateway_settings& settings, std::chrono::milliseconds connect_timeout);
+//! Times after which witnesses that run have been heard, with the intervals of this deployment.
+witness_search_configuration witness_search_limits(const gateway_settings& settings);
 http::server_limits caller_limits_of(const gateway_settings& settings, const routing::caller_limits& limits,
                                      const http::memory_budget_ptr& memory);
 } // namespace buckthornhill::gateway
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -58,11 +58,12 @@
 } // namespace
 
 peer_gossip::peer_gossip(boost::asio::io_context& context, const gateway_settings& initial_settings,
-                         const fleet_view& store_view, random_hook random, hooks hooks_to_call)
+                         const fleet_view& store_view, random_hook random_numbers, hooks hooks_to_call)
     : settings(initial_settings)
     , view(store_view)
     , callbacks(std::move(hooks_to_call))
-    , members(describe_self(initial_settings), initial_settings.membership, std::move(random))
+    , random(std::move(random_numbers))
+    , members(describe_self(initial_settings), initial_settings.membership, this->random)
     , client(std::make_unique<http::http_client>(context, peer_limits(initial_settings, heartbeat_timeout)))
     , lag(store_head_start)
 {
@@ -153,11 +154,12 @@
     peer_heartbeat heartbeat;
     heartbeat.members = this->members.next_brief_gossip();
     heartbeat.quarantined = this->callbacks.quarantined();
-    this->view.describe(heartbeat);
+    this->view.describe(heartbeat, this->callbacks.is_confirmed());
     return heartbeat;
 }
 
-void peer_gossip::send_heartbeat(time_point now, const instance_id& peer)
+void peer_gossip::send_heartbeat(time_point now, const instance_id& peer,
+                                 std::function<void(witness_search::result)> on_end)
 {
     const auto* member = this->members.find(peer);
     if (member == nullptr || member->record.description.peer_address.empty()) {
@@ -170,18 +172,28 @@
     request.body = encode_peer_heartbeat(this->own_heartbeat());
     http::compress_body(request.headers, request.body);
     const auto address = http::parse_endpoint(member->record.description.peer_address);
-    this->client->send(
-        address, std::move(request), now + heartbeat_timeout, http::connection_choice::reuse,
-        [this](const http::call_result& result) {
-            if (result.status != http::call_status::complete || result.response.status != status_ok) {
-                return;
-            }
-            try {
-                this->on_heartbeat(clock_now(), decode_peer_heartbeat(decoded_body(result.response)));
-            } catch (const buckthornhill::error& failure) {
-                log::event(log_part, "news_unreadable", {{"reason", failure.what()}});
-            }
-        });
+    this->client->send(address, std::move(request), now + heartbeat_timeout, http::connection_choice::reuse,
+                       [this, now, on_end = std::move(on_end)](const http::call_result& result) {
+                           const bool is_answered = result.status == http::call_status::complete;
+                           if (is_answered && result.response.status == status_ok) {
+                               this->on_heartbeat_response(result.response);
+                           }
+                           if (on_end) {
+                               const bool is_silent = clock_now() - now >= heartbeat_timeout;
+                               on_end(is_answered ? witness_search::result::answered
+                                      : is_silent ? witness_search::result::silent
+                                                  : witness_search::result::refused);
+                           }
+                       });
+}
+
+void peer_gossip::on_heartbeat_response(const http::http_response& response)
+{
+    try {
+        this->on_heartbeat(clock_now(), decode_peer_heartbeat(decoded_body(response)));
+    } catch (const buckthornhill::error& failure) {
+        log::event(log_part, "news_unreadable", {{"reason", failure.what()}});
+    }
 }
 
 void peer_gossip::on_heartbeat(time_point now, const peer_heartbeat& heartbeat)
@@ -307,6 +319,24 @@
     exchange->respond(std::move(refusal));
 }
 
+std::vector<instance_id> peer_gossip::candidates()
+{
+    std::vector<instance_id> running;
+    std::vector<instance_id> others;
+    for (const auto& [id, member] : this->members.all()) {
+        if (!member.record.description.peer_address.empty()) {
+            (member.record.state == member_state::live ? running : others).push_back(id);
+        }
+    }
+    for (auto* ids : {&running, &others}) {
+        for (std::size_t i = ids->size(); i > 1; --i) {
+            std::swap((*ids)[i - 1], (*ids)[this->random() % i]);
+        }
+    }
+    running.insert(running.end(), others.begin(), others.end());
+    return running;
+}
+
 std::vector<placement::known_instance> peer_gossip::known_instances(time_point now) const
 {
     std::vector<placement::known_instance> known{{this->self().id, this->self().region}};
--- a/src/gateway/peer_gossip.h
+++ b/src/gateway/peer_gossip.h
@@ -9,6 +9,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/peer_message_codec.h"
 #include "gateway/store_lag.h"
+#include "gateway/witness_search.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "membership/member_table.h"
@@ -37,6 +38,8 @@
         std::function<bool()> informs_all;
         //! Called for each heartbeat, before its versions are compared with those of the view.
         std::function<void(const peer_heartbeat&)> on_store_state;
+        //! Whether the confirmation of the configuration in force is valid.
+        std::function<bool()> is_confirmed;
         //! Requests that are quarantined, for heartbeats.
         std::function<std::vector<quarantine::suspect_report>()> quarantined;
         std::function<void(const std::vector<quarantine::suspect_report>&)> on_quarantined;
@@ -63,6 +66,13 @@
     //! failed.
     void on_pause(time_point now) { this->members.restart_timeouts(now); }
 
+    //! Sends a heartbeat to a known instance. `on_end` reports how that ended, after the hooks have been
+    //! called for the response.
+    void send_heartbeat(time_point now, const instance_id& peer,
+                        std::function<void(witness_search::result)> on_end = {});
+    //! All other instances that are known, with the addresses of seeds; those that run first, each part in
+    //! random order.
+    std::vector<instance_id> candidates();
     //! Fetches from a peer what it has newer of a collection, unless that is under way.
     void fetch_collection(const std::string& address, store::collection which);
 
@@ -82,7 +92,7 @@
 private:
     void on_request(const http::exchange_ptr& exchange);
     void on_heartbeat(time_point now, const peer_heartbeat& heartbeat);
-    void send_heartbeat(time_point now, const instance_id& peer);
+    void on_heartbeat_response(const http::http_response& response);
     //! To the region, or to all instances if these must know at once.
     void send_heartbeats_at_once(time_point now);
     //! Records the collections of which the sender has a newer version.
@@ -98,6 +108,7 @@
     gateway_settings settings;
     const fleet_view& view;
     hooks callbacks;
+    random_hook random;
     membership::member_table members;
     std::unique_ptr<http::http_client> client;
     std::unique_ptr<http::http_server> server;
--- a/src/gateway/peer_message_codec.cpp
+++ b/src/gateway/peer_message_codec.cpp
@@ -181,6 +181,10 @@
         root["configuration"] = heartbeat.newest_configuration.value();
         root["awaits_configuration"] = heartbeat.awaits_configuration;
     }
+    if (heartbeat.witness != witness_quality::none) {
+        root["witness"] = to_string(heartbeat.witness);
+        root["confirmed"] = heartbeat.is_confirmed;
+    }
     if (!heartbeat.quarantined.empty()) {
         root["quarantined"] = encode_suspect_reports(heartbeat.quarantined);
     }
@@ -210,6 +214,10 @@
             routing::configuration_version(number_or_zero(root, "configuration"));
         const auto* awaits = root.if_contains("awaits_configuration");
         heartbeat.awaits_configuration = awaits != nullptr && awaits->as_bool();
+        if (const auto* witness = root.if_contains("witness")) {
+            heartbeat.witness = parse_witness_quality(std::string(witness->as_string()));
+            heartbeat.is_confirmed = root.at("confirmed").as_bool();
+        }
         if (const auto* quarantined = root.if_contains("quarantined")) {
             heartbeat.quarantined = decode_suspect_reports(quarantined->as_array());
         }
--- a/src/gateway/peer_message_codec.h
+++ b/src/gateway/peer_message_codec.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gateway/confirmation_source.h"
+#include "gateway/witness_quality.h"
 #include "membership/membership_types.h"
 #include "quarantine/quarantine_types.h"
 #include "routing/routing_types.h"
@@ -26,6 +27,9 @@
     routing::configuration_version newest_configuration{}; //!< in force at the sender; 0 without eras
     //! The store has not got back the sender's newest configuration since it was restored.
     bool awaits_configuration = false;
+    //! Of the newest configuration from before the era in which the sender knows the configuration.
+    witness_quality witness = witness_quality::none;
+    bool is_confirmed = false; //!< the configuration in force at the sender
 };
 
 //! Response of an instance that watches the store to a follower.
--- a/src/gateway/tests/restored_view_tests.cpp
+++ b/src/gateway/tests/restored_view_tests.cpp
@@ -75,6 +75,9 @@
         return this->view.is_confirmed_by({routing::configuration_version(version), milliseconds(1)});
     }
 
+    //! What the instance does once the witnesses that it asked have answered.
+    void settle() { this->view.on_witnesses_heard(); }
+
     bool answers_confirmation() { return this->view.own_confirmation(seconds(2)).has_value(); }
 
     void confirm_for(collection which, seconds time)
@@ -190,9 +193,10 @@
 {
     instance_fixture peer;
     peer.list(collection::configuration, 1, 50, {{"main", "7"}});
+    peer.settle();
     instance_fixture started;
     started.list(collection::configuration, 2, 30, {{"main", "6"}});
-    CHECK(started.view.has_store_caught_up());
+    CHECK_FALSE(started.is_confirmed_by_store(2, 30, "6"));
     SECTION("from a peer that has seen the restore")
     {
         peer.list(collection::configuration, 2, 30, {{"main", "6"}});
@@ -201,9 +205,17 @@
     {
         CHECK(peer.heartbeat().era == store_era(1));
     }
-    CHECK(started.is_confirmed_by_store(2, 30, "6"));
+    SECTION("also when no witness seemed to be left at first")
+    {
+        started.view.on_no_witness_left();
+        CHECK(started.is_confirmed_by_store(2, 30, "6"));
+        started.core.freshness().confirm(seconds(1));
+        CHECK(started.answers_confirmation());
+    }
     CHECK_FALSE(started.view.on_heartbeat(peer.heartbeat()));
     CHECK_FALSE(started.view.has_store_caught_up());
+    CHECK_FALSE(started.core.freshness().age(seconds(2)).has_value());
+    started.settle();
     CHECK(started.view.has_current_configuration());
     CHECK_FALSE(started.is_confirmed_by_store(2, 30, "6"));
     CHECK(started.view.lacks_configuration_of(peer.heartbeat()));
@@ -214,6 +226,82 @@
     CHECK_FALSE(started.view.has_current_configuration());
     started.change(collection::configuration, 2, 31, "main", "7");
     CHECK(started.view.has_store_caught_up());
+    CHECK(started.is_confirmed_by_store(2, 32, "7"));
+}
+
+//! Guards against a key that was revoked before a restore of the store and runs at an instance that started
+//! after it: the first list that the instance got was taken for the newest configuration.
+TEST_CASE("[GIVEN] an instance that has started in an era of the store [WHEN] no witness has answered yet "
+          "[THEN] nothing confirms the configuration, and it confirms nothing to others",
+          "[gateway][accounts][pattern: the store is restored from an older copy]")
+{
+    instance_fixture started;
+    CHECK_FALSE(started.is_confirmed_by_store(2, 30, "6"));
+    CHECK_FALSE(started.is_confirmed_by_store(2, 31, "6"));
+    CHECK_FALSE(started.is_confirmed_by_instance(6));
+    started.core.freshness().confirm(seconds(1));
+    CHECK_FALSE(started.answers_confirmation());
+    CHECK(started.heartbeat().witness == witness_quality::none);
+    SECTION("nor does another one that has just started")
+    {
+        instance_fixture other;
+        other.list(collection::configuration, 2, 30, {{"main", "6"}});
+        CHECK(started.view.quality_of(other.heartbeat()) == witness_quality::none);
+        CHECK_FALSE(started.view.on_heartbeat(other.heartbeat()));
+        CHECK(started.view.floor().is_open());
+    }
+    SECTION("nor one that found no witness, until others would have told it better")
+    {
+        instance_fixture other;
+        other.list(collection::configuration, 2, 30, {{"main", "6"}});
+        other.view.on_no_witness_left();
+        CHECK(started.view.quality_of(other.heartbeat()) == witness_quality::none);
+        other.settle();
+        CHECK(started.view.quality_of(other.heartbeat()) == witness_quality::settled);
+    }
+    SECTION("until witnesses have answered")
+    {
+        started.settle();
+        CHECK(started.is_confirmed_by_store(2, 31, "6"));
+        CHECK(started.answers_confirmation());
+        CHECK(started.heartbeat().witness == witness_quality::settled);
+    }
+    SECTION("without eras the store loses nothing")
+    {
+        instance_fixture without_eras;
+        CHECK(without_eras.is_confirmed_by_store(0, 30, "6"));
+    }
+}
+
+//! Guards against an instance that was frozen or cut off while a key was revoked and the store was restored:
+//! it must not take what it last knew for the newest configuration.
+TEST_CASE("[GIVEN] an instance that runs while the store is restored [WHEN] it lists the new era [THEN] its "
+          "quality as a witness tells whether it was up to date",
+          "[gateway][accounts][pattern: the store is restored from an older copy]")
+{
+    const bool is_confirmed = GENERATE(false, true);
+    instance_fixture instance;
+    instance.list(collection::configuration, 1, 50, {{"main", "7"}});
+    instance.settle();
+    store::collection_update update{collection::configuration, true, false,
+                                    object_version(30),        {},   store_era(2)};
+    update.changes.push_back({{"main", "7", object_version(30)}, false});
+    instance.view.apply(start, update, is_confirmed);
+    CHECK(instance.view.floor().is_open());
+    CHECK(instance.heartbeat().witness == (is_confirmed ? witness_quality::recent : witness_quality::lapsed));
+    CHECK_FALSE(instance.is_confirmed_by_store(2, 31, "7"));
+    CHECK_FALSE(instance.is_confirmed_by_instance(7));
+
+    instance_fixture up_to_date;
+    up_to_date.list(collection::configuration, 1, 51, {{"main", "8"}});
+    up_to_date.settle();
+    peer_heartbeat of_earlier_era;
+    up_to_date.view.describe(of_earlier_era, true);
+    CHECK(instance.view.quality_of(of_earlier_era) == witness_quality::recent);
+    CHECK_FALSE(instance.view.on_heartbeat(of_earlier_era));
+    instance.settle();
+    CHECK_FALSE(instance.is_confirmed_by_store(2, 32, "7"));
+    CHECK(instance.view.lacks_configuration_of(of_earlier_era));
 }
 
 //! Guards against requests with keys that are served by the word of a store that has lost the newest
@@ -224,12 +312,16 @@
     "[gateway][accounts][pattern: the store is restored from an older copy]")
 {
     instance_fixture instance;
+    CHECK_FALSE(instance.is_confirmed_by_store(1, 50, "7"));
+    instance.settle();
     CHECK(instance.is_confirmed_by_store(1, 50, "7"));
     CHECK_FALSE(instance.answers_confirmation());
     instance.core.freshness().confirm(seconds(1));
     CHECK(instance.answers_confirmation());
     CHECK(instance.is_confirmed_by_instance(7));
 
+    CHECK_FALSE(instance.is_confirmed_by_store(2, 30, "6"));
+    instance.settle();
     CHECK_FALSE(instance.is_confirmed_by_store(2, 30, "6"));
     CHECK_FALSE(instance.is_confirmed_by_instance(6));
     CHECK_FALSE(instance.is_confirmed_by_instance(7));
@@ -269,6 +361,8 @@
     const auto era = GENERATE(0U, 2U);
     peer.list(collection::configuration, era, 50, {{"main", "8"}});
     instance.list(collection::configuration, era, 49, {{"main", "7"}});
+    peer.settle();
+    instance.settle();
     CHECK_FALSE(instance.view.on_heartbeat(peer.heartbeat()));
     CHECK_FALSE(instance.view.lacks_configuration_of(peer.heartbeat()));
     CHECK(instance.view.has_store_caught_up());
@@ -312,6 +406,8 @@
     for (const auto* text : {"41.", ".2", "41.x", "41.2.3"}) {
         CHECK_THROWS(parse_version(text));
     }
+    CHECK_THROWS(
+        decode_peer_heartbeat(R"({"members":[],"changed_at":{},"witness":"sure","confirmed":true})"));
     const relay_response relayed{true, {}, store_era(3)};
     CHECK(decode_relay_response(encode_relay_response(relayed)).era == store_era(3));
     CHECK(decode_relay_response(R"({"is_source":true,"updates":[]})").era == store_era());
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -393,9 +393,12 @@
 
 void collection_watcher::refresh(collection which)
 {
-    const auto& state = *this->watches.at(which);
+    auto& state = *this->watches.at(which);
     if (state.is_in_contact && state.is_listed) {
         this->client->cancel(state.call);
+    } else if (which == collection::instances && !state.is_call_in_progress) {
+        state.timer.cancel();
+        this->call(which);
     }
 }
 
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -57,7 +57,7 @@
 
     void start() { this->resume({}); }
     //! Replaces the long poll by a new one: a peer has a newer version, so the current connection may be
-    //! dead.
+    //! dead. The instances, which are not watched, are listed at once.
     void refresh(collection which);
     //! Stops listing and watching until `resume`, because another instance relays the updates.
     void suspend();
