--- a/src/fleet/upstream_roster.cpp
+++ b/src/fleet/upstream_roster.cpp
@@ -1,16 +1,22 @@
 #include "fleet/upstream_roster.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornhill::fleet {
 namespace {
 //! Departed runs are remembered so that outdated updates cannot make them usable again; the limit is far
 //! above the departures of a day.
 constexpr std::size_t max_departed_runs = 4096;
+//! Age of a confirmation at the end of the time in which an entry may have lapsed. Covers the interval at
+//! which relays confirm the list to their followers.
+constexpr std::chrono::milliseconds max_confirmation_age{900};
+//! Before that end, for a call to the store.
+constexpr std::chrono::milliseconds check_lead{200};
 } // namespace
 
 void upstream_roster::replace_all(time_point now, const std::vector<upstream_entry>& entries,
-                                  bool after_outage)
+                                  std::optional<time_point> lapse_deadline)
 {
     std::set<upstream_id> present;
     for (const auto& entry : entries) {
@@ -18,12 +24,12 @@
     }
     std::vector<upstream_id> missing;
     for (const auto& [id, upstream] : this->upstreams) {
-        if (!present.contains(id)) {
+        if (!present.contains(id) && !upstream.lapse_deadline) {
             missing.push_back(id);
         }
     }
     for (const auto& id : missing) {
-        this->drop_entry(now, id, after_outage);
+        this->drop_entry(now, id, lapse_deadline);
     }
     for (const auto& entry : entries) {
         this->apply_entry(now, entry);
@@ -75,7 +81,7 @@
         known.is_misdirected = false;
     }
     known.entry = entry;
-    known.may_have_lapsed = false;
+    known.lapse_deadline.reset();
     if (entry.cold_left.count() > 0) {
         known.cold_until = std::max(known.cold_until, now + entry.cold_left);
     }
@@ -108,31 +114,50 @@
     return true;
 }
 
-void upstream_roster::drop_entry(time_point now, const upstream_id& id, bool after_outage)
+void upstream_roster::drop_entry(time_point now, const upstream_id& id,
+                                 std::optional<time_point> lapse_deadline)
 {
     const auto found = this->upstreams.find(id);
     if (found == this->upstreams.end()) {
         return;
     }
     auto& upstream = found->second;
-    if (after_outage && this->is_usable(upstream)) {
-        if (!upstream.may_have_lapsed) {
-            upstream.may_have_lapsed = true;
-            upstream.lapse_deadline = now + this->configuration.lapse_grace;
-            this->next_lapse_deadline = std::min(this->next_lapse_deadline, upstream.lapse_deadline);
-        }
+    if (lapse_deadline && now < *lapse_deadline && this->is_usable(upstream)) {
+        const auto deadline = std::min(upstream.lapse_deadline.value_or(*lapse_deadline), *lapse_deadline);
+        upstream.lapse_deadline = deadline;
+        this->next_lapse_deadline = std::min(this->next_lapse_deadline, deadline);
         return;
     }
     this->upstreams.erase(found);
 }
 
-void upstream_roster::remove(time_point now, const upstream_id& id, bool after_outage)
+void upstream_roster::remove(time_point now, const upstream_id& id, std::optional<time_point> lapse_deadline)
 {
     const auto previous_service = this->usable_service(id);
-    this->drop_entry(now, id, after_outage);
+    this->drop_entry(now, id, lapse_deadline);
     this->update_usable(id, previous_service);
 }
 
+void upstream_roster::on_store_contact(std::optional<time_point> lapse_deadline)
+{
+    this->is_store_lost = false;
+    for (auto& [id, upstream] : this->upstreams) {
+        if (upstream.lapse_deadline && lapse_deadline) {
+            upstream.lapse_deadline = std::max(*upstream.lapse_deadline, *lapse_deadline);
+        }
+    }
+    this->update_next_lapse_deadline();
+}
+
+void upstream_roster::update_next_lapse_deadline()
+{
+    this->next_lapse_deadline = time_point::max();
+    for (const auto& [id, upstream] : this->upstreams) {
+        this->next_lapse_deadline =
+            std::min(this->next_lapse_deadline, upstream.lapse_deadline.value_or(time_point::max()));
+    }
+}
+
 void upstream_roster::set_evacuated(const std::set<domain_id>& domains)
 {
     if (this->evacuated_domains != domains) {
@@ -151,22 +176,29 @@
     }
 }
 
+bool upstream_roster::is_confirmed_for(time_point deadline) const
+{
+    return !this->is_store_lost && this->confirmed_at + max_confirmation_age >= deadline;
+}
+
+bool upstream_roster::takes_check(time_point now)
+{
+    const auto deadline = this->next_lapse_deadline;
+    const bool is_due = deadline != time_point::max() && now + check_lead >= deadline;
+    return is_due && !this->is_confirmed_for(deadline) &&
+           std::exchange(this->checked_for, deadline) != deadline;
+}
+
 void upstream_roster::on_tick(time_point now)
 {
-    if (now < this->next_lapse_deadline) {
+    if (now < this->next_lapse_deadline || !this->is_confirmed_for(this->next_lapse_deadline)) {
         return;
     }
-    this->next_lapse_deadline = time_point::max();
     const auto dropped = std::erase_if(this->upstreams, [this, now](const auto& item) {
-        if (!item.second.may_have_lapsed) {
-            return false;
-        }
-        const bool is_gone = now >= item.second.lapse_deadline;
-        if (!is_gone) {
-            this->next_lapse_deadline = std::min(this->next_lapse_deadline, item.second.lapse_deadline);
-        }
-        return is_gone;
+        const auto& deadline = item.second.lapse_deadline;
+        return deadline && now >= *deadline && this->is_confirmed_for(*deadline);
     });
+    this->update_next_lapse_deadline();
     if (dropped > 0) {
         this->rebuild_usable();
     }
--- a/src/fleet/upstream_roster.h
+++ b/src/fleet/upstream_roster.h
@@ -1,18 +1,13 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
 #include "fleet/fleet_types.h"
 
 namespace buckthornhill::fleet {
-struct roster_configuration
-{
-    //! Registrations that lapsed during a store outage are renewed within about two seconds of its end.
-    std::chrono::milliseconds lapse_grace{1900};
-};
-
 //! Keeps the registered upstreams and lists the usable ones by service. An upstream is not usable when it is
 //! leaving, when its failure domain is evacuated or when its address answered as another upstream.
 class upstream_roster
@@ -23,21 +18,30 @@
         upstream_entry entry;
         time_point cold_until{};
         bool is_misdirected = false; //!< its address answered as another upstream
-        time_point
-            lapse_deadline{}; //!< set while `may_have_lapsed`; without a registration by then it is removed
-        bool may_have_lapsed = false; //!< missing after a store outage, perhaps only until it is renewed
+        //! Set while the entry is missing and may merely have lapsed; without a registration by then it is
+        //! removed.
+        std::optional<time_point> lapse_deadline;
     };
 
-    explicit upstream_roster(const roster_configuration& configuration)
-        : configuration(configuration)
-    {
-    }
-
-    //! Replaces the whole list. `after_outage`: the store was unavailable, so a missing entry may have lapsed
-    //! while its upstream still runs.
-    void replace_all(time_point now, const std::vector<upstream_entry>& entries, bool after_outage);
+    //! Replaces the whole list. A missing entry whose upstream may still run, since the store was
+    //! unavailable, is used until `lapse_deadline`. One that is used so already keeps its own deadline.
+    void replace_all(time_point now, const std::vector<upstream_entry>& entries,
+                     std::optional<time_point> lapse_deadline = std::nullopt);
     void upsert(time_point now, const upstream_entry& entry);
-    void remove(time_point now, const upstream_id& id, bool after_outage);
+    //! Without a deadline, or after it, the entry is unused at once.
+    void remove(time_point now, const upstream_id& id,
+                std::optional<time_point> lapse_deadline = std::nullopt);
+    //! The store, or a relay in contact with it, has confirmed the list. A missing entry that may have lapsed
+    //! is removed only when the list was confirmed at about the end of its time.
+    void on_confirmed(time_point now) { this->confirmed_at = now; }
+    //! Whether the list should be confirmed now, because an entry is to be removed soon. True once for each
+    //! such time.
+    bool takes_check(time_point now);
+    //! Contact with the store was lost. What may have lapsed is used on, since no registration can arrive.
+    void on_store_lost() { this->is_store_lost = true; }
+    //! Contact is back. `lapse_deadline`: after an outage in which registrations may have lapsed, or could
+    //! not be renewed. Those that are missing already get as much time.
+    void on_store_contact(std::optional<time_point> lapse_deadline);
     void set_evacuated(const std::set<domain_id>& domains);
     //! The address of `id` answered as another upstream: `id` gets no requests until it registers a new run
     //! or address.
@@ -66,14 +70,18 @@
     void update_usable(const upstream_id& id, const service_id& previous_service);
     void apply_entry(time_point now, const upstream_entry& entry);
     void remember_departed(const upstream_entry& entry);
-    void drop_entry(time_point now, const upstream_id& id, bool after_outage);
+    void drop_entry(time_point now, const upstream_id& id, std::optional<time_point> lapse_deadline);
     void rebuild_usable();
+    bool is_confirmed_for(time_point deadline) const;
+    void update_next_lapse_deadline();
 
-    roster_configuration configuration;
     std::map<upstream_id, known_upstream> upstreams;
     std::set<std::pair<upstream_id, std::uint64_t>> departed_runs; //!< runs that were seen leaving
     std::set<domain_id> evacuated_domains;
     std::map<service_id, std::vector<upstream_id>> usable_by_service;
+    bool is_store_lost = false;
+    time_point confirmed_at{};
+    time_point checked_for{}; //!< deadline for which a confirmation was last asked for
     std::uint64_t view_epoch = 1;
     time_point next_lapse_deadline = time_point::max(); //!< the earliest `lapse_deadline`
 };
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -21,10 +21,10 @@
 constexpr std::size_t max_single_events = 8;        //!< larger updates are logged grouped by state
 constexpr std::size_t max_upstreams_per_event = 64; //!< in one log line
 
-const char* state_of(const std::optional<fleet::upstream_entry>& entry)
+const char* state_of(const std::optional<fleet::upstream_entry>& entry, bool may_have_lapsed)
 {
     if (!entry) {
-        return "removed";
+        return may_have_lapsed ? "lapsed" : "removed";
     }
     return entry->is_leaving ? "leaving" : "ready";
 }
@@ -77,8 +77,7 @@
         this->apply_configuration(update);
         break;
     case collection::upstreams:
-        //! NOTE Entries that are kept after an outage before the restore keep their time.
-        this->apply_upstreams(now, update, update.after_outage || is_new_era);
+        this->apply_upstreams(now, update);
         break;
     case collection::evacuations:
         this->apply_evacuations();
@@ -115,7 +114,7 @@
                 {"accepted", decision.accepted.size()}});
     if (which == collection::upstreams) {
         for (const auto& name : decision.removed) {
-            this->core.upstreams().remove(now, upstream_id(name), false);
+            this->core.upstreams().remove(now, upstream_id(name));
         }
         log::grouped_event unreadable(log_part, unreadable_event);
         for (const auto& name : decision.accepted) {
@@ -202,7 +201,7 @@
     }
 }
 
-void fleet_view::apply_upstreams(time_point now, const store::collection_update& update, bool may_have_lapsed)
+void fleet_view::apply_upstreams(time_point now, const store::collection_update& update)
 {
     auto& roster = this->core.upstreams();
     const auto& mirror = this->mirrors.at(collection::upstreams);
@@ -214,7 +213,7 @@
                 entries.push_back(std::move(*entry));
             }
         }
-        roster.replace_all(now, entries, may_have_lapsed);
+        roster.replace_all(now, entries, update.lapse_deadline);
         log::event(log_part, "upstreams_listed",
                    {{"count", entries.size()}, {"store_version", update.version.value()}});
         return;
@@ -231,16 +230,19 @@
         if (entry) {
             roster.upsert(now, *entry);
         } else {
-            roster.remove(now, id, change.is_removed && update.after_outage);
+            roster.remove(now, id, change.lapse_deadline);
         }
+        const auto* state = state_of(entry, change.lapse_deadline && now < *change.lapse_deadline);
         if (is_bulk_update) {
-            by_state[state_of(entry)].push_back(id.str());
+            by_state[state].push_back(id.str());
             continue;
         }
+        const auto used_for = change.lapse_deadline ? *change.lapse_deadline - now : duration{};
         log::event(log_part, "upstream_changed",
                    {{"upstream", id.str()},
-                    {"state", state_of(entry)},
+                    {"state", state},
                     {"cold_left_ms", entry ? entry->cold_left.count() : 0},
+                    {"used_for_ms", std::max<std::int64_t>(0, to_milliseconds(used_for))},
                     {"object_version", change.object.version.value()},
                     {"store_version", update.version.value()}});
     }
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -98,7 +98,7 @@
     void apply_configuration_object(const store::stored_object& object, bool shows_all_versions);
     //! Returns whether it was newer than the one in force.
     bool put_in_force(const store::stored_object& object, routing::routing_configuration configuration);
-    void apply_upstreams(time_point now, const store::collection_update& update, bool may_have_lapsed);
+    void apply_upstreams(time_point now, const store::collection_update& update);
     void apply_evacuations();
     std::optional<fleet::upstream_entry> decode_upstream(const store::stored_object& object,
                                                          log::grouped_event& unreadable) const;
--- a/src/gateway/gateway_engine.cpp
+++ b/src/gateway/gateway_engine.cpp
@@ -94,6 +94,9 @@
 {
     const auto time = now();
     this->check_for_pause(time);
+    if (this->core.upstreams().takes_check(time)) {
+        this->callbacks.on_check_needed(store::collection::upstreams);
+    }
     this->core.on_tick(time);
     this->run_actions();
     this->peers->on_tick(time);
--- a/src/gateway/gateway_engine.h
+++ b/src/gateway/gateway_engine.h
@@ -47,6 +47,8 @@
     {
         //! This collection may be out of date: a peer has a newer version, or this process was paused.
         std::function<void(store::collection)> on_refresh_needed;
+        //! The store is to confirm now that this collection is up to date.
+        std::function<void(store::collection)> on_check_needed;
         //! Watch the store from now on, starting after these versions, or stop watching it when empty.
         std::function<void(const std::optional<std::map<store::collection, store::collection_version>>&)>
             on_store_watch_changed;
@@ -87,6 +89,7 @@
     void on_collection(const store::collection_update& update);
     //! Passes on the limits of the configuration in force.
     void on_configuration_applied(time_point now);
+    void on_upstream_contact(const store::contact_change& contact);
     void on_confirmed(store::collection which);
     //! Tells the watcher and the archive if the era is later than those known.
     void on_era(store::store_era latest);
--- a/src/gateway/gateway_engine_parts.cpp
+++ b/src/gateway/gateway_engine_parts.cpp
@@ -28,6 +28,9 @@
         std::optional<std::map<store::collection, store::collection_version>> known;
         if (watches_store) {
             known = this->view.known_versions();
+        } else {
+            //! NOTE The relay is in contact with the store.
+            this->core.upstreams().on_store_contact({});
         }
         this->callbacks.on_store_watch_changed(known);
     };
--- a/src/gateway/gateway_engine_store.cpp
+++ b/src/gateway/gateway_engine_store.cpp
@@ -16,6 +16,9 @@
 {
     if (const auto* contact = std::get_if<store::contact_change>(&event)) {
         this->peers->on_store_contact(contact->which, contact->is_in_contact);
+        if (contact->which == store::collection::upstreams) {
+            this->on_upstream_contact(*contact);
+        }
         if (!contact->is_in_contact) {
             this->view.on_contact_lost(contact->which);
             this->relay->on_store_lost(contact->which);
@@ -45,9 +48,21 @@
     }
 }
 
+void gateway_engine::on_upstream_contact(const store::contact_change& contact)
+{
+    if (contact.is_in_contact) {
+        this->core.upstreams().on_store_contact(contact.lapse_deadline);
+    } else {
+        this->core.upstreams().on_store_lost();
+    }
+}
+
 void gateway_engine::on_confirmed(store::collection which)
 {
     this->view.on_confirmed(now(), which);
+    if (which == store::collection::upstreams) {
+        this->core.upstreams().on_confirmed(now());
+    }
     this->run_actions();
 }
 
--- a/src/gateway/gateway_module.cpp
+++ b/src/gateway/gateway_module.cpp
@@ -60,6 +60,9 @@
         hooks.on_refresh_needed = [this](store::collection which) {
             asio::post(this->store_context, [this, which] { this->watcher.refresh(which); });
         };
+        hooks.on_check_needed = [this](store::collection which) {
+            asio::post(this->store_context, [this, which] { this->watcher.check(which); });
+        };
         hooks.on_era = [this](store::store_era era) {
             asio::post(this->store_context, [this, era] { this->watcher.on_era(era); });
         };
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -278,7 +278,7 @@
                 return;
             }
             try {
-                on_update(decode_collection(decoded_body(result.response)));
+                on_update(decode_collection(clock_now(), decoded_body(result.response)));
             } catch (const buckthornhill::error& failure) {
                 log::event(log_part, "collection_unreadable", {{"reason", failure.what()}});
             }
@@ -297,14 +297,14 @@
         }
         if (http::path_of(request.target) == collection_path) {
             if (http::query_value(request.target, in_force_key) == "1") {
-                exchange->respond(
-                    http::compressed_json_response(encode_collection(this->view.configuration_in_force())));
+                exchange->respond(http::compressed_json_response(
+                    encode_collection(clock_now(), this->view.configuration_in_force())));
                 return;
             }
             const auto which = store::parse_collection(http::query_value(request.target, "name"));
             const auto since = parse_version(http::query_value(request.target, "since"));
             exchange->respond(http::compressed_json_response(
-                encode_collection(this->view.mirror(which).changes_since(which, since))));
+                encode_collection(clock_now(), this->view.mirror(which).changes_since(which, since))));
             return;
         }
         if (this->callbacks.on_unhandled_request(exchange)) {
--- a/src/gateway/peer_message_codec.cpp
+++ b/src/gateway/peer_message_codec.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peer_message_codec.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/json.hpp>
@@ -27,6 +28,7 @@
 };
 constexpr std::size_t brief_field_count = region;
 constexpr std::chrono::hours max_confirmation_age{24}; //!< larger ones can only be errors
+constexpr std::chrono::minutes max_lapse_time{1};      //!< the same
 
 json::array encode_member(const membership::member_record& record)
 {
@@ -105,33 +107,63 @@
     return number;
 }
 
+//! The time that is left, since the clocks of instances differ.
+std::int64_t milliseconds_left(time_point now, time_point deadline)
+{
+    return std::max<std::int64_t>(0, to_milliseconds(deadline - now));
+}
+
+std::optional<time_point> deadline_in(time_point now, const json::value* milliseconds)
+{
+    if (milliseconds == nullptr) {
+        return std::nullopt;
+    }
+    const std::chrono::milliseconds left(milliseconds->to_number<std::int64_t>());
+    if (left < std::chrono::milliseconds(0) || left > max_lapse_time) {
+        throw gateway_error("a lapse of " + std::to_string(left.count()) + " ms is out of range");
+    }
+    return now + left;
+}
+
 //! Each object is the array [name, version, text]; the text is missing when the object was removed.
-json::object update_to_json(const store::collection_update& update)
+json::object update_to_json(time_point now, const store::collection_update& update)
 {
     json::array objects;
+    json::object lapses;
     for (const auto& change : update.changes) {
         json::array fields{change.object.name, change.object.version.value()};
         if (!change.is_removed) {
             fields.emplace_back(change.object.text);
+        } else if (change.lapse_deadline) {
+            lapses[change.object.name] = milliseconds_left(now, *change.lapse_deadline);
         }
         objects.push_back(std::move(fields));
     }
+    //! NOTE Builds that know no deadlines read only whether there are any.
+    const bool may_have_lapsed = update.lapse_deadline || !lapses.empty();
     json::object root{{"collection", store::to_string(update.which)},
                       {"at", update.version.value()},
                       {"whole", update.is_snapshot},
-                      {"after_outage", update.after_outage},
+                      {"after_outage", may_have_lapsed},
                       {"objects", std::move(objects)}};
+    if (update.lapse_deadline) {
+        root["lapse_ms"] = milliseconds_left(now, *update.lapse_deadline);
+    }
+    if (!lapses.empty()) {
+        root["lapses_ms"] = std::move(lapses);
+    }
     write_era(root, update.era);
     return root;
 }
 
-store::collection_update update_from_json(const json::object& root)
+store::collection_update update_from_json(time_point now, const json::object& root)
 {
     constexpr std::size_t removal_field_count = 2;
     store::collection_update update;
     update.which = store::parse_collection(std::string(root.at("collection").as_string()));
     update.is_snapshot = root.at("whole").as_bool();
-    update.after_outage = root.at("after_outage").as_bool();
+    update.lapse_deadline = deadline_in(now, root.if_contains("lapse_ms"));
+    const auto* lapses = root.if_contains("lapses_ms");
     update.version = object_version(root.at("at").to_number<std::uint64_t>());
     update.era = read_era(root);
     for (const auto& value : root.at("objects").as_array()) {
@@ -141,6 +173,9 @@
         change.object.name = text_at(fields, 0);
         change.object.version = object_version(fields.at(1).to_number<std::uint64_t>());
         change.object.text = change.is_removed ? std::string() : text_at(fields, 2);
+        if (change.is_removed && lapses != nullptr) {
+            change.lapse_deadline = deadline_in(now, lapses->as_object().if_contains(change.object.name));
+        }
         update.changes.push_back(std::move(change));
     }
     return update;
@@ -225,15 +260,15 @@
     });
 }
 
-std::string encode_collection(const store::collection_update& update)
+std::string encode_collection(time_point now, const store::collection_update& update)
 {
-    return json::serialize(update_to_json(update));
+    return json::serialize(update_to_json(now, update));
 }
 
-store::collection_update decode_collection(const std::string& text)
+store::collection_update decode_collection(time_point now, const std::string& text)
 {
     return decode_or_throw("a peer's collection",
-                           [&text] { return update_from_json(json::parse(text).as_object()); });
+                           [&] { return update_from_json(now, json::parse(text).as_object()); });
 }
 
 //! The revision comes first, and the era follows only where there is one, as in `41` and `41.2`.
@@ -254,26 +289,26 @@
     return {store::store_era(parse_number(std::string_view(text).substr(point + 1))), revision};
 }
 
-std::string encode_relay_response(const relay_response& response)
+std::string encode_relay_response(time_point now, const relay_response& response)
 {
     json::array updates;
     for (const auto& update : response.updates) {
-        updates.push_back(update_to_json(update));
+        updates.push_back(update_to_json(now, update));
     }
     json::object root{{"is_source", response.is_source}, {"updates", std::move(updates)}};
     write_era(root, response.era);
     return json::serialize(root);
 }
 
-relay_response decode_relay_response(const std::string& text)
+relay_response decode_relay_response(time_point now, const std::string& text)
 {
-    return decode_or_throw("a relay's answer", [&text] {
+    return decode_or_throw("a relay's answer", [&] {
         const auto root = json::parse(text).as_object();
         relay_response response;
         response.is_source = root.at("is_source").as_bool();
         response.era = read_era(root);
         for (const auto& update : root.at("updates").as_array()) {
-            response.updates.push_back(update_from_json(update.as_object()));
+            response.updates.push_back(update_from_json(now, update.as_object()));
         }
         return response;
     });
--- a/src/gateway/peer_message_codec.h
+++ b/src/gateway/peer_message_codec.h
@@ -44,16 +44,17 @@
 std::string encode_peer_heartbeat(const peer_heartbeat& heartbeat);
 //! Throws `gateway_error`.
 peer_heartbeat decode_peer_heartbeat(const std::string& text);
-std::string encode_collection(const store::collection_update& update);
+//! `now` is the local time, to which deadlines in the message are relative.
+std::string encode_collection(time_point now, const store::collection_update& update);
 //! Throws `gateway_error`.
-store::collection_update decode_collection(const std::string& text);
+store::collection_update decode_collection(time_point now, const std::string& text);
 //! Writes the version of a collection for a query string.
 std::string encode_version(const store::collection_version& version);
 //! Parses a version from a query string. Throws `gateway_error`.
 store::collection_version parse_version(const std::string& text);
-std::string encode_relay_response(const relay_response& response);
+std::string encode_relay_response(time_point now, const relay_response& response);
 //! Throws `gateway_error`.
-relay_response decode_relay_response(const std::string& text);
+relay_response decode_relay_response(time_point now, const std::string& text);
 std::string encode_confirmation(const peer_confirmation& confirmation);
 //! Throws `gateway_error`.
 peer_confirmation decode_confirmation(const std::string& text);
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -219,7 +219,7 @@
             }
         }
     }
-    return encode_relay_response(response);
+    return encode_relay_response(now, response);
 }
 
 void store_relay::call_relay(time_point now, const instance_id& relay)
@@ -260,8 +260,9 @@
         reason = "the relay did not respond: " + result.detail;
     } else {
         try {
-            response = decode_relay_response(http::decompressed_body(
-                result.response.headers, result.response.body, max_peer_message_bytes));
+            response = decode_relay_response(now, http::decompressed_body(result.response.headers,
+                                                                          result.response.body,
+                                                                          max_peer_message_bytes));
         } catch (const buckthornhill::error& failure) {
             log::event(log_part, "answer_unreadable", {{"reason", failure.what()}});
             reason = "the relay's response cannot be decoded";
--- a/src/gateway/tests/peer_message_codec_tests.cpp
+++ b/src/gateway/tests/peer_message_codec_tests.cpp
@@ -9,8 +9,11 @@
 
 using namespace buckthornhill;
 using namespace buckthornhill::gateway;
+using std::chrono::milliseconds;
 
 namespace {
+const time_point now{std::chrono::hours(1)};
+
 membership::member_description make_member()
 {
     membership::member_description member;
@@ -54,7 +57,7 @@
     update.version = object_version(6);
     update.changes.push_back({{"north-a", "{\"quoted\":\"text\"}", object_version(5)}, false});
 
-    const auto decoded = decode_collection(encode_collection(update));
+    const auto decoded = decode_collection(now, encode_collection(now, update));
 
     CHECK(decoded.which == store::collection::evacuations);
     CHECK(decoded.is_snapshot);
@@ -69,22 +72,55 @@
 {
     store::collection_update update;
     update.which = store::collection::upstreams;
-    update.after_outage = true;
     update.version = object_version(9);
     update.changes.push_back({{"u1", "text", object_version(8)}, false});
     update.changes.push_back({{"u2", "", object_version(9)}, true});
 
-    const auto decoded = decode_relay_response(encode_relay_response({true, {update}}));
+    const auto decoded = decode_relay_response(now, encode_relay_response(now, {true, {update}}));
 
     CHECK(decoded.is_source);
     REQUIRE(decoded.updates.size() == 1);
     CHECK_FALSE(decoded.updates[0].is_snapshot);
-    CHECK(decoded.updates[0].after_outage);
     REQUIRE(decoded.updates[0].changes.size() == 2);
     CHECK_FALSE(decoded.updates[0].changes[0].is_removed);
     CHECK(decoded.updates[0].changes[1].is_removed);
     CHECK(decoded.updates[0].changes[1].object.name == "u2");
-    CHECK_THROWS_AS(decode_relay_response("{}"), gateway_error);
+    CHECK_FALSE(decoded.updates[0].changes[1].lapse_deadline);
+    CHECK_THROWS_AS(decode_relay_response(now, "{}"), gateway_error);
+}
+
+//! Guards against a follower that asks late and gets a grace period of its own for a removal.
+TEST_CASE("[GIVEN] a removal that may be a lapse [WHEN] followers ask for it later [THEN] they get the time "
+          "that is left",
+          "[gateway][pattern: upstreams leave after an outage of the store]")
+{
+    const auto deadline = now + milliseconds(1900);
+    const auto passed = GENERATE(milliseconds(0), milliseconds(1500), milliseconds(5000));
+    store::collection_update update;
+    update.which = store::collection::upstreams;
+    update.version = object_version(9);
+    update.changes.push_back({{"u1", "", object_version(8)}, true, deadline});
+    update.changes.push_back({{"u2", "", object_version(9)}, true});
+    //! The follower's clock has another origin.
+    const time_point there{std::chrono::hours(7)};
+    const auto left = std::max(milliseconds(0), milliseconds(1900) - passed);
+    const auto decoded = decode_relay_response(there, encode_relay_response(now + passed, {true, {update}}));
+    REQUIRE(decoded.updates[0].changes.size() == 2);
+    CHECK(decoded.updates[0].changes[0].lapse_deadline == there + left);
+    CHECK_FALSE(decoded.updates[0].changes[1].lapse_deadline);
+
+    store::collection_update list;
+    list.which = store::collection::upstreams;
+    list.is_snapshot = true;
+    list.lapse_deadline = deadline;
+    CHECK(decode_collection(there, encode_collection(now + passed, list)).lapse_deadline == there + left);
+    for (const auto* text : {"-1", "70000", "\"1\""}) {
+        CHECK_THROWS_AS(
+            decode_collection(there, R"({"collection":"upstreams","at":1,"whole":true,"after_outage":true,)"
+                                     R"("objects":[],"lapse_ms":)" +
+                                         std::string(text) + "}"),
+            gateway_error);
+    }
 }
 
 TEST_CASE("[GIVEN] a registration [WHEN] another instance reads it [THEN] it finds the addresses",
@@ -102,7 +138,7 @@
                              R"({"members":[["a",1,99,1,"r","d","p","c"]],"changed_at":{}})"}) {
         CHECK_THROWS_AS(decode_peer_heartbeat(text), gateway_error);
     }
-    CHECK_THROWS_AS(decode_collection("{\"collection\":\"upstreams\"}"), gateway_error);
+    CHECK_THROWS_AS(decode_collection(now, "{\"collection\":\"upstreams\"}"), gateway_error);
     CHECK_THROWS_AS(decode_registration("{\"id\":7}"), gateway_error);
 }
 
@@ -138,13 +174,13 @@
     update.version = object_version(6);
     update.changes = {{{"u1", R"({"a":1})", object_version(5)}, false},
                       {{"u2", "", object_version(6)}, true}};
-    const auto texts =
-        std::vector<std::string>{encode_peer_heartbeat(heartbeat), encode_collection(update),
-                                 encode_relay_response({true, {update}}), encode_registration(make_member())};
+    const auto texts = std::vector<std::string>{
+        encode_peer_heartbeat(heartbeat), encode_collection(now, update),
+        encode_relay_response(now, {true, {update}}), encode_registration(make_member())};
     const std::vector<std::function<void(const std::string&)>> readers{
         [](const std::string& text) { decode_peer_heartbeat(text); },
-        [](const std::string& text) { decode_collection(text); },
-        [](const std::string& text) { decode_relay_response(text); },
+        [](const std::string& text) { decode_collection(now, text); },
+        [](const std::string& text) { decode_relay_response(now, text); },
         [](const std::string& text) { decode_registration(text); }};
     testing::text_mutator mutator(11);
     int refused = 0;
--- a/src/gateway/tests/restored_view_tests.cpp
+++ b/src/gateway/tests/restored_view_tests.cpp
@@ -46,7 +46,7 @@
     void list(collection which, std::uint64_t era, std::uint64_t at,
               const std::vector<std::pair<std::string, std::string>>& objects)
     {
-        store::collection_update update{which, true, false, object_version(at), {}, store_era(era)};
+        store::collection_update update{which, true, {}, object_version(at), {}, store_era(era)};
         for (const auto& [name, text] : objects) {
             update.changes.push_back({{name, text, object_version(at)}, false});
         }
@@ -57,14 +57,14 @@
                 const std::optional<std::string>& text)
     {
         const store::object_change one{{name, text.value_or(""), object_version(at)}, !text};
-        this->view.apply(start, {which, false, false, object_version(at), {one}, store_era(era)});
+        this->view.apply(start, {which, false, {}, object_version(at), {one}, store_era(era)});
     }
 
     //! Applies the store's configuration and returns whether that confirms the one in force.
     bool is_confirmed_by_store(std::uint64_t era, std::uint64_t at, const std::string& text)
     {
         store::collection_update update{
-            collection::configuration, true, false, object_version(at), {}, store_era(era), seconds(1)};
+            collection::configuration, true, {}, object_version(at), {}, store_era(era), seconds(1)};
         update.changes.push_back({{"main", text, object_version(at)}, false});
         this->view.apply(start, update);
         return this->view.is_confirmed_by(update);
@@ -219,7 +219,8 @@
     CHECK(started.view.has_current_configuration());
     CHECK_FALSE(started.is_confirmed_by_store(2, 30, "6"));
     CHECK(started.view.lacks_configuration_of(peer.heartbeat()));
-    started.view.take_configuration(decode_collection(encode_collection(peer.view.configuration_in_force())));
+    started.view.take_configuration(
+        decode_collection(start, encode_collection(start, peer.view.configuration_in_force())));
     CHECK(started.configuration() == 7);
     CHECK_FALSE(started.view.lacks_configuration_of(peer.heartbeat()));
     CHECK_FALSE(started.view.has_store_caught_up());
@@ -283,7 +284,7 @@
     instance_fixture instance;
     instance.list(collection::configuration, 1, 50, {{"main", "7"}});
     instance.settle();
-    store::collection_update update{collection::configuration, true, false,
+    store::collection_update update{collection::configuration, true, {},
                                     object_version(30),        {},   store_era(2)};
     update.changes.push_back({{"main", "7", object_version(30)}, false});
     instance.view.apply(start, update, is_confirmed);
@@ -387,7 +388,8 @@
     const auto encoded = encode_version(of(behind).version());
     CHECK(encoded == "90.1");
     const auto update = decode_collection(
-        encode_collection(of(ahead).changes_since(collection::upstreams, parse_version(encoded))));
+        start,
+        encode_collection(start, of(ahead).changes_since(collection::upstreams, parse_version(encoded))));
     CHECK(behind.view.apply(start, update));
     CHECK(of(behind).version() == of(ahead).version());
     CHECK(behind.usable() == 2);
@@ -409,6 +411,6 @@
     CHECK_THROWS(
         decode_peer_heartbeat(R"({"members":[],"changed_at":{},"witness":"sure","confirmed":true})"));
     const relay_response relayed{true, {}, store_era(3)};
-    CHECK(decode_relay_response(encode_relay_response(relayed)).era == store_era(3));
-    CHECK(decode_relay_response(R"({"is_source":true,"updates":[]})").era == store_era());
+    CHECK(decode_relay_response(start, encode_relay_response(start, relayed)).era == store_era(3));
+    CHECK(decode_relay_response(start, R"({"is_source":true,"updates":[]})").era == store_era());
 }
--- a/src/placement/tests/object_plan_tests.cpp
+++ b/src/placement/tests/object_plan_tests.cpp
@@ -114,7 +114,7 @@
     }
     SECTION("not when it has left")
     {
-        roster.remove(time_point{}, planned, false);
+        roster.remove(time_point{}, planned);
         CHECK(picker.pick(time_point{}, roster, request).upstream != planned);
     }
     SECTION("not when it is ejected")
--- a/src/placement/tests/object_planner_tests.cpp
+++ b/src/placement/tests/object_planner_tests.cpp
@@ -147,7 +147,7 @@
     }
 
     time_point now{seconds(100)};
-    fleet::upstream_roster roster{fleet::roster_configuration{}};
+    fleet::upstream_roster roster;
     region_plan regions;
     object_planner planner;
     object_plan copy;
@@ -219,7 +219,7 @@
     const auto before = region.placements(200);
     const auto leaver = before.at(0);
     const auto entry = region.roster.find_usable(leaver)->entry;
-    region.roster.remove(region.now, leaver, false);
+    region.roster.remove(region.now, leaver);
     region.run(seconds(2), 200);
     const auto after = region.placements(200);
     for (const auto& [object, upstream] : before) {
@@ -299,7 +299,7 @@
     region.run(seconds(5), 200);
     object_planner other;
     other.begin(region.now, region.copy, instance_id("i1"));
-    region.roster.remove(region.now, region.placements(1).at(0), false);
+    region.roster.remove(region.now, region.placements(1).at(0));
     std::swap(region.planner, other);
     region.run(seconds(5), 200);
     const auto in_use = region.placements(200);
--- a/src/placement/tests/placement_fixtures.h
+++ b/src/placement/tests/placement_fixtures.h
@@ -22,7 +22,7 @@
 
 inline fleet::upstream_roster make_roster(int count, std::int64_t slots = 4)
 {
-    fleet::upstream_roster roster{fleet::roster_configuration{}};
+    fleet::upstream_roster roster;
     for (int i = 0; i < count; ++i) {
         roster.upsert(time_point{}, make_entry(i, slots));
     }
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -48,7 +48,7 @@
     for (std::uint64_t object = 0; object < 300; ++object) {
         before[object] = picker.pick(time_point{}, roster, request_for(object)).upstream;
     }
-    roster.remove(time_point{}, upstream_id("u5"), false);
+    roster.remove(time_point{}, upstream_id("u5"));
     for (const auto& [object, upstream] : before) {
         const auto now_at = picker.pick(time_point{}, roster, request_for(object)).upstream;
         if (upstream == upstream_id("u5")) {
@@ -63,7 +63,7 @@
     "[GIVEN] upstreams with different slot counts [WHEN] objects are placed [THEN] shares follow the slots",
     "[placement]")
 {
-    fleet::upstream_roster roster{fleet::roster_configuration{}};
+    fleet::upstream_roster roster;
     roster.upsert(time_point{}, make_entry(0, 9));
     roster.upsert(time_point{}, make_entry(1, 3));
     upstream_picker picker(instance_id("i1"), here, {});
--- a/src/placement/tests/region_plan_tests.cpp
+++ b/src/placement/tests/region_plan_tests.cpp
@@ -14,7 +14,7 @@
 //! A pool of 22 upstreams of which the second region has only two.
 fleet::upstream_roster make_uneven_roster()
 {
-    fleet::upstream_roster roster{fleet::roster_configuration{}};
+    fleet::upstream_roster roster;
     for (int i = 0; i < 22; ++i) {
         roster.upsert(time_point{}, make_entry(i, 5, i < 10 ? north : i < 12 ? centre : south));
     }
--- a/src/placement/tests/upstream_signal_tests.cpp
+++ b/src/placement/tests/upstream_signal_tests.cpp
@@ -43,7 +43,7 @@
     bool has_room() { return this->picker.pick(this->now, this->roster, request_for(1)).has_room; }
 
     static constexpr time_point start{seconds(100)};
-    fleet::upstream_roster roster{fleet::roster_configuration{}};
+    fleet::upstream_roster roster;
     upstream_picker picker{instance_id("i1"), here, {}};
     time_point now = start;
 };
@@ -60,7 +60,7 @@
     constexpr std::size_t window_s = 4;
     for (const auto& [count, limit] :
          std::vector<std::pair<std::size_t, double>>{{9, 3.8}, {3, 12}, {60, 4}}) {
-        fleet::upstream_roster roster{fleet::roster_configuration{}};
+        fleet::upstream_roster roster;
         roster.upsert(time_point{}, make_entry(0, 50));
         std::vector<known_instance> known;
         for (std::size_t i = 0; i < count; ++i) {
@@ -133,7 +133,7 @@
                                 milliseconds(1));
     upstream.picker.on_signals(upstream.now, upstream_id("u0"), limited);
     const auto sent_at = upstream.now;
-    upstream.roster.remove(upstream.now, upstream_id("u0"), false);
+    upstream.roster.remove(upstream.now, upstream_id("u0"));
     upstream.run_until(sent_at + seconds(3));
     upstream.roster.upsert(upstream.now, make_entry(0));
     CHECK_FALSE(upstream.has_room());
@@ -149,7 +149,7 @@
           "[placement]")
 {
     signalling_upstream upstream({0.5, false, milliseconds(8000)});
-    upstream.roster.remove(upstream.now, upstream_id("u0"), false);
+    upstream.roster.remove(upstream.now, upstream_id("u0"));
     upstream.run_until(upstream.start + seconds(30));
     CHECK(upstream.picker.find_load(upstream_id("u0")) != nullptr);
     upstream.run_until(upstream.start + seconds(63));
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -73,7 +73,6 @@
                        random_hook random_source)
     : configuration(settings)
     , random(std::move(random_source))
-    , roster(fleet::roster_configuration{})
     , picker(std::move(self), std::move(where), settings.placement)
     , crashes(settings.quarantine)
     , confirmations(settings.freshness)
--- a/src/proxy/tests/proxy_core_tests.cpp
+++ b/src/proxy/tests/proxy_core_tests.cpp
@@ -427,7 +427,7 @@
     CHECK(std::get<signal_changed_action>(actions[0]).change == signal_change::leaving);
     CHECK(std::holds_alternative<deliver_action>(actions[1]));
     fixture.core.upstreams().upsert(fixture.now, proxy_fixture::entry(0));
-    fixture.core.upstreams().replace_all(fixture.now, {proxy_fixture::entry(0)}, false);
+    fixture.core.upstreams().replace_all(fixture.now, {proxy_fixture::entry(0)});
     fixture.request();
     CHECK(fixture.single_action<refuse_action>().reason == refusal_reason::no_upstream);
 
--- a/src/store/collection_mirror.cpp
+++ b/src/store/collection_mirror.cpp
@@ -20,7 +20,7 @@
         this->replace(update);
     } else {
         for (const auto& change : update.changes) {
-            this->apply_change(change, update);
+            this->apply_change(change);
         }
     }
     this->forget_oldest_removals();
@@ -38,7 +38,7 @@
     return update.full_version() >= this->version() && (update.era == this->known_era || update.is_snapshot);
 }
 
-void collection_mirror::apply_change(const object_change& change, const collection_update& update)
+void collection_mirror::apply_change(const object_change& change)
 {
     const auto& name = change.object.name;
     if (!change.is_removed && this->is_still_held(change.object)) {
@@ -47,7 +47,8 @@
     this->reconciliation.on_written(name);
     this->held_objects.erase(name);
     if (change.is_removed) {
-        this->remove(name, change.object.version, update);
+        this->contents.erase(name);
+        this->removals[name] = {change.object.version, change.lapse_deadline};
     } else {
         this->contents[name] = change.object;
         this->removals.erase(name);
@@ -64,10 +65,7 @@
     this->last_change = {};
     for (const auto& change : update.changes) {
         const auto& name = change.object.name;
-        //! NOTE What disappeared in an outage may merely have expired and was not seen leaving.
-        const auto removed = this->removals.find(name);
-        const bool was_seen_leaving = removed != this->removals.end() && !removed->second.after_outage;
-        if (was_seen_leaving || this->held_objects.contains(name)) {
+        if (this->was_seen_leaving(now, name) || this->held_objects.contains(name)) {
             reappeared.insert(name);
             held.emplace(name, change.object);
         } else {
@@ -111,7 +109,7 @@
             return false;
         }
         if (found == listed.end()) {
-            this->removals[item.first] = {update.version, update.after_outage};
+            this->removals[item.first] = {update.version, update.lapse_deadline};
             has_removals = true;
         }
         this->reconciliation.on_written(item.first);
@@ -151,7 +149,7 @@
     const auto previous = std::exchange(this->contents, std::move(replacement));
     for (const auto& [name, object] : previous) {
         if (!this->contents.contains(name)) {
-            this->removals[name] = {update.version, update.after_outage};
+            this->removals[name] = {update.version, update.lapse_deadline};
         }
     }
     std::erase_if(this->removals, [this](const auto& item) { return this->contents.contains(item.first); });
@@ -169,11 +167,20 @@
     }
 }
 
-void collection_mirror::remove(const std::string& name, object_version version,
-                               const collection_update& update)
+bool collection_mirror::was_seen_leaving(time_point now, const std::string& name) const
+{
+    //! NOTE What disappeared in an outage may merely have lapsed, until its owner would have renewed it.
+    const auto removed = this->removals.find(name);
+    return removed != this->removals.end() && removed->second.lapse_deadline.value_or(now) <= now;
+}
+
+std::optional<time_point> collection_mirror::latest_lapse_deadline() const
 {
-    this->contents.erase(name);
-    this->removals[name] = {version, update.after_outage};
+    std::optional<time_point> latest;
+    for (const auto& [name, removal] : this->removals) {
+        latest = std::max(latest, removal.lapse_deadline);
+    }
+    return latest;
 }
 
 void collection_mirror::forget_oldest_removals()
@@ -193,6 +200,7 @@
     collection_update update;
     update.which = which;
     update.is_snapshot = true;
+    update.lapse_deadline = this->latest_lapse_deadline();
     update.version = this->known_version;
     update.era = this->known_era;
     for (const auto& [name, object] : this->contents) {
@@ -217,8 +225,7 @@
     update.era = this->known_era;
     for (const auto& [name, removal] : this->removals) {
         if (removal.version > since.revision) {
-            update.changes.push_back({{name, {}, removal.version}, true});
-            update.after_outage = update.after_outage || removal.after_outage;
+            update.changes.push_back({{name, {}, removal.version}, true, removal.lapse_deadline});
         }
     }
     for (const auto* objects : {&this->contents, &this->held_objects}) {
--- a/src/store/collection_mirror.h
+++ b/src/store/collection_mirror.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "store/collection_types.h"
@@ -52,18 +53,20 @@
     struct removal
     {
         object_version version;
-        bool after_outage = false;
+        std::optional<time_point> lapse_deadline;
     };
 
     bool is_applicable(const collection_update& update) const;
     void begin_era(time_point now, const collection_update& update);
-    void apply_change(const object_change& change, const collection_update& update);
+    void apply_change(const object_change& change);
     //! Adds the kept entries to a list of the current era and takes out those held back. Returns whether some
     //! of the latter are no longer in the store.
     bool reconcile(std::map<std::string, stored_object>& listed, const collection_update& update);
     bool is_still_held(const stored_object& object) const;
     void replace(const collection_update& update);
-    void remove(const std::string& name, object_version version, const collection_update& update);
+    bool was_seen_leaving(time_point now, const std::string& name) const;
+    //! Until when one of the recorded removals may be a lapse, if any may.
+    std::optional<time_point> latest_lapse_deadline() const;
     void forget_oldest_removals();
 
     std::map<std::string, stored_object> contents;
--- a/src/store/collection_types.h
+++ b/src/store/collection_types.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "global/ids.h"
+#include "global/units.h"
 #include "http/http_types.h"
 
 //! The content of the platform's store: collections of named objects, which are listed once and then watched.
@@ -53,6 +54,9 @@
 {
     stored_object object;
     bool is_removed = false;
+    //! Of a removal that may merely be the lapse of a registration in an outage of the store: its owner
+    //! renews it until then, or has left.
+    std::optional<time_point> lapse_deadline{};
 };
 
 struct list_page
@@ -75,9 +79,9 @@
 struct collection_update
 {
     collection which = collection::configuration;
-    bool is_snapshot = false;  //!< `changes` holds the whole collection rather than only what changed
-    bool after_outage = false; //!< the store was unreachable shortly before, so missing entries may have
-                               //!< expired during the outage
+    bool is_snapshot = false; //!< `changes` holds the whole collection rather than only what changed
+    //! The same as for a removal, for all objects that a whole collection lacks.
+    std::optional<time_point> lapse_deadline{};
     object_version version;
     std::vector<object_change> changes;
     store_era era{};
--- a/src/store/collection_watcher.cpp
+++ b/src/store/collection_watcher.cpp
@@ -61,8 +61,8 @@
     bool was_delivered = false;    //!< since the process started
     bool has_lost_contact = false; //!< contact was lost after the known state was received
     time_point contact_since{};
-    //! End of the latest outage in which objects may have expired.
-    time_point outage_end{};
+    //! After the latest outage in which objects may have expired.
+    std::optional<time_point> lapse_deadline;
     //! The latest response at which contact had lasted for so long that all objects had been renewed.
     time_point renewed_at{};
     time_point changed_at{};
@@ -190,7 +190,7 @@
         }
         //! NOTE An object of an earlier page may have changed before the last page was read. Watching from
         //! the first page on repeats some changes and misses none.
-        collection_update update{which, true, this->is_after_outage(state), state.first_page_version, {}};
+        collection_update update{which, true, this->lapse_deadline(state), state.first_page_version, {}};
         update.changes = std::exchange(state.listed_objects, {});
         state.cursor.reset();
         state.is_listed = true;
@@ -237,8 +237,10 @@
     try {
         auto batch = this->dialect.decode_changes(result.response.body);
         this->on_contact(which);
-        this->deliver(which,
-                      {which, false, this->is_after_outage(state), batch.version, std::move(batch.changes)});
+        for (auto& change : batch.changes) {
+            change.lapse_deadline = change.is_removed ? this->lapse_deadline(state) : std::nullopt;
+        }
+        this->deliver(which, {which, false, {}, batch.version, std::move(batch.changes)});
     } catch (const buckthornhill::error& failure) {
         log::warning(log_part,
                      std::string("Could not parse changes from the store: ") + failure.what() + ".");
@@ -313,8 +315,11 @@
     const bool is_restored = std::exchange(state.has_lost_contact, false);
     const bool may_have_expired =
         is_restored && time - state.renewed_at >= this->configuration.shortest_expiring_outage();
-    state.outage_end = may_have_expired ? time : time_point{};
-    this->sink(contact_change{which, true, {}});
+    state.lapse_deadline.reset();
+    if (may_have_expired) {
+        state.lapse_deadline = this->configuration.lapse_deadline(this->failed_call_at, time);
+    }
+    this->sink(contact_change{which, true, {}, state.lapse_deadline});
     if (is_restored) {
         this->call_others_after_outage(state);
     }
@@ -339,9 +344,10 @@
     });
 }
 
-bool collection_watcher::is_after_outage(const watch& state) const
+std::optional<time_point> collection_watcher::lapse_deadline(const watch& state) const
 {
-    return state.outage_end != time_point{} && now() - state.outage_end < this->configuration.outage_memory;
+    const bool is_over = state.lapse_deadline && now() >= *state.lapse_deadline;
+    return is_over ? std::nullopt : state.lapse_deadline;
 }
 
 void collection_watcher::on_failure(collection which, const http::call_result& result)
@@ -350,6 +356,7 @@
     state.listed_objects.clear();
     state.cursor.reset();
     state.has_lost_contact = state.has_lost_contact || state.is_in_contact || state.is_listed;
+    this->failed_call_at = std::max(this->failed_call_at, state.called_at);
     if (state.is_in_contact) {
         state.is_in_contact = false;
         this->sink(contact_change{which, false, describe(result)});
@@ -402,6 +409,21 @@
     }
 }
 
+void collection_watcher::check(collection which)
+{
+    auto& state = *this->watches.at(which);
+    if (this->is_suspended || !state.is_in_contact || !state.is_listed) {
+        return;
+    }
+    state.skips_next_wait = true;
+    if (state.is_call_in_progress) {
+        this->client->cancel(state.call);
+    } else {
+        state.timer.cancel();
+        this->call(which);
+    }
+}
+
 void collection_watcher::suspend()
 {
     this->is_suspended = true;
--- a/src/store/collection_watcher.h
+++ b/src/store/collection_watcher.h
@@ -27,6 +27,9 @@
     collection which = collection::configuration;
     bool is_in_contact = false;
     std::string detail;
+    //! Where contact was restored after an outage in which objects may have expired: see
+    //! `collection_update::lapse_deadline`.
+    std::optional<time_point> lapse_deadline{};
 };
 
 //! The store came back from an older copy, or named its era for the first time.
@@ -59,6 +62,8 @@
     //! Replaces the long poll by a new one: a peer has a newer version, so the current connection may be
     //! dead. The instances, which are not watched, are listed at once.
     void refresh(collection which);
+    //! Asks the store to respond at once for a collection that is watched, without a pause before.
+    void check(collection which);
     //! Stops listing and watching until `resume`, because another instance relays the updates.
     void suspend();
     //! Continues watching from the versions in `known`; collections of an earlier era are listed again.
@@ -95,7 +100,8 @@
     void on_watch_result(collection which, const http::call_result& result);
     void on_failure(collection which, const http::call_result& result);
     void on_contact(collection which);
-    bool is_after_outage(const watch& state) const;
+    //! See `collection_update::lapse_deadline`.
+    std::optional<time_point> lapse_deadline(const watch& state) const;
     void deliver(collection which, collection_update update);
     void call_after_pause(collection which, bool has_changes);
     void call_later(collection which, std::chrono::milliseconds delay);
@@ -111,7 +117,8 @@
     std::unique_ptr<http::http_client> client;
     std::map<collection, std::unique_ptr<watch>> watches;
     std::unique_ptr<instance_registration> registration;
-    store_era era; //!< the latest that any response named
+    store_era era;               //!< the latest that any response named
+    time_point failed_call_at{}; //!< when the latest call of any collection that failed began
     bool is_suspended = true;
     bool has_dependent_instances = false;
     //! The latest that the store responded for. While no collection is in contact, the calls for it show when
--- a/src/store/collection_watcher_configuration.cpp
+++ b/src/store/collection_watcher_configuration.cpp
@@ -16,6 +16,8 @@
 constexpr double confirming_poll_part_with_dependents = 0.2;
 //! From a call until its response is in force, on a slow machine.
 constexpr std::chrono::milliseconds next_call_time{400};
+//! From a decision to send a request until it has reached an upstream in another region.
+constexpr std::chrono::milliseconds request_transit_time{200};
 } // namespace
 
 std::chrono::milliseconds collection_watcher_configuration::max_confirmation_age(collection which) const
@@ -30,6 +32,11 @@
     return (this->renewals_until_expiry - 1) * this->renewal_interval;
 }
 
+time_point collection_watcher_configuration::lapse_deadline(time_point failed_call, time_point contact) const
+{
+    return std::min(contact + this->lapse_grace, failed_call + this->recovery_bound - request_transit_time);
+}
+
 std::chrono::milliseconds collection_watcher_configuration::poll_duration(collection which) const
 {
     const auto bound = this->change_bounds.find(which);
--- a/src/store/collection_watcher_configuration.h
+++ b/src/store/collection_watcher_configuration.h
@@ -26,9 +26,8 @@
     std::chrono::milliseconds poll_timeout{800};
     std::chrono::milliseconds min_backoff{150}; //!< after a failed call; doubles up to the maximum
     std::chrono::milliseconds max_backoff{1200};
-    //! An entry that disappears later than this after contact was restored was removed; before that, it may
-    //! merely have expired during the outage.
-    std::chrono::milliseconds outage_memory{2000};
+    //! Registrations that lapsed in an outage of the store are renewed within about two seconds of its end.
+    std::chrono::milliseconds lapse_grace{1900};
     //! Interval at which objects are renewed by their owners.
     std::chrono::milliseconds renewal_interval{1500};
     //! Missed renewals after which an object expires.
@@ -64,6 +63,10 @@
     //! Time from the last renewals that were surely possible until the first object may expire: its owner may
     //! have renewed it up to an interval earlier.
     std::chrono::milliseconds shortest_expiring_outage() const;
+    //! Until when entries that are missing after an outage may merely have lapsed, whenever this instance
+    //! hears of them: the grace period from the contact that ended the outage, but within the recovery bound
+    //! of the store's return. That was not before the latest call that failed began.
+    time_point lapse_deadline(time_point failed_call, time_point contact) const;
     //! Age of the latest response of the store for `which` up to which other instances may depend on it. The
     //! rest of the bound is for those that must then call the store themselves.
     std::chrono::milliseconds max_confirmation_age(collection which) const;
--- a/src/store/tests/collection_mirror_tests.cpp
+++ b/src/store/tests/collection_mirror_tests.cpp
@@ -26,12 +26,12 @@
 
 collection_update full_update(std::uint64_t at, std::vector<object_change> changes)
 {
-    return {collection::upstreams, true, false, object_version(at), std::move(changes)};
+    return {collection::upstreams, true, {}, object_version(at), std::move(changes)};
 }
 
 collection_update partial_update(std::uint64_t at, std::vector<object_change> changes)
 {
-    return {collection::upstreams, false, false, object_version(at), std::move(changes)};
+    return {collection::upstreams, false, {}, object_version(at), std::move(changes)};
 }
 } // namespace
 
@@ -141,13 +141,56 @@
     collection_mirror mirror;
     mirror.apply(start, full_update(10, {changed("a", "1"), changed("b", "1")}));
     auto list = full_update(20, {changed("b", "1")});
-    list.after_outage = true;
+    list.lapse_deadline = start + std::chrono::seconds(2);
     mirror.apply(start, list);
     const auto changes = mirror.changes_since(collection::upstreams, version(10));
     REQUIRE(changes.changes.size() == 1);
     CHECK(changes.changes[0].is_removed);
-    CHECK(changes.after_outage);
+    CHECK(changes.changes[0].lapse_deadline == list.lapse_deadline);
+    CHECK(mirror.snapshot(collection::upstreams).lapse_deadline == list.lapse_deadline);
 
     mirror.apply(start, partial_update(22, {changed("a", "2")}));
-    CHECK(mirror.changes_since(collection::upstreams, version(21)).after_outage == false);
+    CHECK_FALSE(mirror.snapshot(collection::upstreams).lapse_deadline);
+}
+
+//! Guards against followers of a relay that use an upstream which has left because another one may have
+//! lapsed in an outage before.
+TEST_CASE(
+    "[GIVEN] a removal that may be a lapse [WHEN] a later one is certain [THEN] peers get each with its "
+    "own deadline",
+    "[store][pattern: upstreams leave after an outage of the store]")
+{
+    const auto deadline = start + std::chrono::seconds(2);
+    collection_mirror mirror;
+    mirror.apply(start, full_update(10, {changed("a", "1"), changed("b", "1")}));
+    auto doubtful = partial_update(11, {});
+    doubtful.changes.push_back({{"a", {}, object_version(11)}, true, deadline});
+    mirror.apply(start, doubtful);
+    auto certain = partial_update(12, {});
+    certain.changes.push_back({{"b", {}, object_version(12)}, true});
+    mirror.apply(start, certain);
+    const auto changes = mirror.changes_since(collection::upstreams, version(10)).changes;
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].lapse_deadline == deadline);
+    CHECK_FALSE(changes[1].lapse_deadline);
+}
+
+//! Guards against an upstream that is used again after a restore of the store although it did not come back
+//! when the outage before was over.
+TEST_CASE(
+    "[GIVEN] a removal that may be a lapse [WHEN] the store is restored with the entry [THEN] it is held "
+    "back once the grace period was over",
+    "[store][pattern: the store is restored from an older copy]")
+{
+    const bool is_over = GENERATE(false, true);
+    const auto deadline = start + std::chrono::seconds(2);
+    collection_mirror mirror;
+    mirror.apply(start, full_update(10, {changed("a", "1")}));
+    auto doubtful = partial_update(11, {});
+    doubtful.changes.push_back({{"a", {}, object_version(11)}, true, deadline});
+    mirror.apply(start, doubtful);
+    auto restored = full_update(9, {changed("a", "1")});
+    restored.era = store_era(1);
+    mirror.apply(is_over ? deadline : start, restored);
+    CHECK(mirror.objects().contains("a") != is_over);
 }
--- a/src/store/tests/collection_watcher_tests.cpp
+++ b/src/store/tests/collection_watcher_tests.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <charconv>
 #include <functional>
 
@@ -46,6 +47,17 @@
     return page;
 }
 
+//! Names of objects in changes begin with this when they are removed.
+constexpr char removal_mark = '-';
+
+//! Whether what the update lacks or removes may be used for some more time.
+bool may_have_lapsed(const collection_update& update)
+{
+    return update.lapse_deadline || std::ranges::any_of(update.changes, [](const auto& change) {
+               return change.lapse_deadline.has_value();
+           });
+}
+
 store_dialect make_dialect()
 {
     store_dialect dialect;
@@ -77,7 +89,7 @@
         const auto page = decode_names(body);
         change_batch batch{{}, page.version};
         for (const auto& object : page.objects) {
-            batch.changes.push_back({object, false});
+            batch.changes.push_back({object, object.name.starts_with(removal_mark)});
         }
         return batch;
     };
@@ -100,6 +112,14 @@
     return configuration;
 }
 
+//! The configuration whose recovery bound leaves the grace period after an outage.
+collection_watcher_configuration doubting_configuration()
+{
+    auto configuration = fast_configuration(milliseconds(1));
+    configuration.recovery_bound = milliseconds(3000);
+    return configuration;
+}
+
 //! A store that responds to calls for the upstreams and for `put` from a script, and never responds to other
 //! calls.
 class scripted_store
@@ -238,7 +258,7 @@
     CHECK(store.updates[0].changes.size() == 3);
     CHECK(store.updates[0].version == object_version(5));
     CHECK_FALSE(store.updates[1].is_snapshot);
-    CHECK_FALSE(store.updates[1].after_outage);
+    CHECK_FALSE(may_have_lapsed(store.updates[1]));
     CHECK(store.contacts == std::vector<bool>{true});
 }
 
@@ -324,32 +344,89 @@
           "[store][pattern: the store refuses some machines]")
 {
     for (const auto& refusal : {scripted_store::answer{503, ""}, {429, ""}, {200, "unreadable"}}) {
-        scripted_store store({{200, "a@5"}, refusal, refusal, {200, "@7"}, {200, "b@8"}});
+        scripted_store store({{200, "a@5"}, refusal, refusal, {200, "@7"}, {200, "-b@8"}},
+                             doubting_configuration());
         store.run();
         REQUIRE(store.updates.size() >= 2);
-        CHECK(store.updates[1].after_outage);
+        CHECK(may_have_lapsed(store.updates.back()));
         CHECK(store.contacts == std::vector<bool>{true, false, true});
     }
 }
 
+//! Guards against a grace period that begins when a removal is heard: an upstream that leaves some time after
+//! an outage was used for the whole of it once more.
+TEST_CASE(
+    "[GIVEN] a store back from an outage [WHEN] removals are heard one after the other [THEN] the grace "
+    "period of all ends at the same time",
+    "[store][pattern: upstreams leave after an outage of the store]")
+{
+    auto configuration = doubting_configuration();
+    configuration.min_pause = milliseconds(40);
+    configuration.max_pause = milliseconds(40);
+    scripted_store store({{200, "a,b,c@5"}, {503, ""}, {200, "-a@6"}, {200, "-b@7"}, {410, ""}, {200, "d@8"}},
+                         configuration);
+    store.run();
+    REQUIRE(store.updates.size() == 4);
+    const auto contact = store.called_at[2];
+    const auto end = store.updates[1].changes.at(0).lapse_deadline;
+    REQUIRE(end);
+    CHECK(*end >= contact + configuration.lapse_grace);
+    CHECK(*end < contact + configuration.lapse_grace + milliseconds(40));
+    CHECK(store.updates[2].changes.at(0).lapse_deadline == end);
+    CHECK(store.updates[3].lapse_deadline == end);
+}
+
+//! Guards against a removal that is heard after the grace period and counts as a lapse.
+TEST_CASE("[GIVEN] a store back from an outage [WHEN] a removal is heard after the grace period [THEN] it is "
+          "final",
+          "[store][pattern: upstreams leave after an outage of the store]")
+{
+    auto configuration = doubting_configuration();
+    configuration.lapse_grace = milliseconds(20);
+    configuration.min_pause = milliseconds(60);
+    configuration.max_pause = milliseconds(60);
+    scripted_store store({{200, "a,b@5"}, {503, ""}, {200, "-a@6"}, {200, "-b@7"}}, configuration);
+    store.run();
+    REQUIRE(store.updates.size() == 3);
+    CHECK(may_have_lapsed(store.updates[1]));
+    CHECK_FALSE(may_have_lapsed(store.updates[2]));
+}
+
+//! Guards against an instance that finds the store late, after its pauses between calls, and uses what has
+//! left for longer than the recovery bound allows.
+TEST_CASE(
+    "[GIVEN] an outage [WHEN] contact is regained late [THEN] the grace period ends within the recovery "
+    "bound of the latest call that failed",
+    "[store][pattern: upstreams leave after an outage of the store]")
+{
+    collection_watcher_configuration configuration;
+    configuration.recovery_bound = milliseconds(3000);
+    const time_point failed_call{std::chrono::hours(1)};
+    CHECK(configuration.lapse_deadline(failed_call, failed_call + milliseconds(100)) ==
+          failed_call + milliseconds(100) + configuration.lapse_grace);
+    const auto late = configuration.lapse_deadline(failed_call, failed_call + milliseconds(2000));
+    CHECK(late < failed_call + configuration.recovery_bound);
+    CHECK(late > failed_call + milliseconds(2000));
+}
+
 //! Guards against removed upstreams that stay in use because a single call to the store had failed.
 TEST_CASE("[GIVEN] contact with the store [WHEN] it is lost for a time in which nothing can expire [THEN] "
           "removals are not marked as after an outage",
           "[store]")
 {
-    auto configuration = fast_configuration(milliseconds(1));
+    auto configuration = doubting_configuration();
     configuration.renewal_interval = milliseconds(40);
     configuration.renewals_until_expiry = 100;
     std::vector<scripted_store::answer> answers(8, {200, "a@5"});
-    answers.insert(answers.end(), {{503, ""}, {200, "@7"}, {200, "b@8"}});
+    answers.insert(answers.end(), {{503, ""}, {200, "-a@7"}, {200, "-b@8"}});
     configuration.min_pause = milliseconds(20);
     configuration.max_pause = milliseconds(20);
     scripted_store store(answers, configuration);
     store.run();
     REQUIRE(store.contacts == std::vector<bool>{true, false, true});
     REQUIRE(store.updates.size() == 10);
-    CHECK_FALSE(store.updates[8].after_outage);
-    CHECK_FALSE(store.updates[9].after_outage);
+    CHECK_FALSE(may_have_lapsed(store.updates[8]));
+    CHECK_FALSE(may_have_lapsed(store.updates[9]));
 }
 
 //! Guards against upstreams that are dropped although only the second of two short outages let them expire.
@@ -358,18 +435,18 @@
     "as one",
     "[store]")
 {
-    auto configuration = fast_configuration(milliseconds(1));
+    auto configuration = doubting_configuration();
     configuration.renewal_interval = milliseconds(40);
     configuration.min_backoff = milliseconds(50);
     configuration.max_backoff = milliseconds(50);
     configuration.min_pause = milliseconds(20);
     configuration.max_pause = milliseconds(20);
     std::vector<scripted_store::answer> answers(5, {200, "a@5"});
-    answers.insert(answers.end(), {{503, ""}, {200, "@5"}, {503, ""}, {200, "b@8"}});
+    answers.insert(answers.end(), {{503, ""}, {200, "@5"}, {503, ""}, {200, "-b@8"}});
     scripted_store store(answers, configuration);
     store.run();
     REQUIRE(store.updates.size() == 7);
-    CHECK(store.updates[6].after_outage);
+    CHECK(may_have_lapsed(store.updates[6]));
 }
 
 TEST_CASE("[GIVEN] a long poll whose connection was reset [WHEN] it is repeated [THEN] the store is asked to "
@@ -413,14 +490,14 @@
     "from its version",
     "[store][pattern: the relay of a failure domain ends]")
 {
-    scripted_store store({{200, "b@9"}});
+    scripted_store store({{200, "-b@9"}}, doubting_configuration());
     store.known[collection::upstreams] = {{}, object_version(7)};
     store.run();
     REQUIRE(store.calls.size() == 2);
     CHECK(store.calls[0] == "GET /upstreams?since=7&answer=at-once");
     CHECK(store.calls[1] == "GET /upstreams?since=9");
     REQUIRE(store.updates.size() == 1);
-    CHECK_FALSE(store.updates[0].after_outage);
+    CHECK_FALSE(may_have_lapsed(store.updates[0]));
 }
 
 TEST_CASE(
@@ -428,11 +505,16 @@
     "marked as after an outage",
     "[store][pattern: the relay of a failure domain ends in an outage]")
 {
-    scripted_store store({{503, ""}, {200, "b@9"}});
+    //! The calls for the configuration show when the outage is over; they get no response.
+    auto configuration = doubting_configuration();
+    configuration.recovery_bound = milliseconds(1000);
+    configuration.poll_timeout = milliseconds(100);
+    scripted_store store({{503, ""}, {200, "-b@9"}}, configuration);
+    store.known[collection::configuration] = {{}, object_version(7)};
     store.known[collection::upstreams] = {{}, object_version(7)};
     store.run();
     REQUIRE(store.updates.size() == 1);
-    CHECK(store.updates[0].after_outage);
+    CHECK(may_have_lapsed(store.updates[0]));
 }
 
 TEST_CASE("[GIVEN] a starting process [WHEN] it has the first list [THEN] it pauses to find a relay",
--- a/src/store/tests/restore_tests.cpp
+++ b/src/store/tests/restore_tests.cpp
@@ -24,12 +24,12 @@
 
 collection_update list(std::uint64_t era, std::uint64_t at, std::vector<object_change> changes)
 {
-    return {collection::upstreams, true, false, object_version(at), std::move(changes), store_era(era)};
+    return {collection::upstreams, true, {}, object_version(at), std::move(changes), store_era(era)};
 }
 
 collection_update changes(std::uint64_t era, std::uint64_t at, std::vector<object_change> changed)
 {
-    return {collection::upstreams, false, false, object_version(at), std::move(changed), store_era(era)};
+    return {collection::upstreams, false, {}, object_version(at), std::move(changed), store_era(era)};
 }
 
 collection_version version(std::uint64_t era, std::uint64_t revision)
